End a planned stop when a client has just reset its connection

Cause: closing idle connections shuts down the sending side, which raises ENOTCONN when the client has reset the connection and the loop has not seen it yet; the error ended the planned stop half-way (found by reading, while tracing "processes still there at the end of the grace"). Change: such a connection is aborted; a fault of the stop is logged and the process ends all the same. Test first (it failed with ENOTCONN).

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import logging
 import types
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 from fescueknot.httpio.timer import Timer
 from fescueknot.httpio.turns import Answer, Turn, Turns
 
+_LOG = logging.getLogger('fescueknot.httpio')
 # Requests of one connection that are read ahead of their turn.
 _MOST_WAITING_REQUESTS = 16
 # A client that has not closed by then is cut off.
@@ -173,9 +175,15 @@
         """
         self._last = True
         self._turns.abandon()
-        if not self._transport.is_closing():
+        if self._transport.is_closing():
+            return
+        try:
             self._transport.write_eof()
-            self._timer.set(_LINGER_S, self._transport.abort)
+        except OSError as error:
+            _LOG.debug('httpio: client gone before the end: %r', error)
+            self._transport.abort()
+            return
+        self._timer.set(_LINGER_S, self._transport.abort)
 
     def _await_request(self) -> None:
         """Bound the wait for the rest of a request, or for the next one.
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -187,7 +187,10 @@
         self._observer.note('node.started', pid=os.getpid())
         await self._stopping.wait()
         self._observer.note('node.stopping', busy=self._stop.busy())
-        await self._stop.run(self._settings.bounds.grace_s)
+        stop = loop.create_task(self._stop.run(self._settings.bounds.grace_s))
+        stop.add_done_callback(self._task_ended)
+        # A fault of the stop is told, and the process ends all the same.
+        await asyncio.wait((stop,))
         self._observer.note('node.stopped')
         for _ in range(_LAST_FLUSHES):
             self._log.flush()
--- a/tests/httpio/test_server.py
+++ b/tests/httpio/test_server.py
@@ -1,6 +1,8 @@
 """Server connections: order, limits, clients that leave, planned stops."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -63,6 +65,13 @@
     return asyncio.run(asyncio.wait_for(around(), 30))
 
 
+def _reset(client):
+    """Close a connection so that the other side finds it reset."""
+    at_once = struct.pack('ii', 1, 0)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+    client.close()
+
+
 async def _status(reader):
     head = await reader.readuntil(b'\r\n\r\n')
     return int(head.split()[1]), head
@@ -199,6 +208,17 @@
 
         assert _run(scenario) == b''
 
+    def test_a_client_that_has_just_reset_is_no_obstacle(self):
+        async def scenario(handler, server, reader, writer):
+            client = socket.create_connection(('127.0.0.1', server.port))
+            while server.connections < 2:
+                await asyncio.sleep(0.001)
+            _reset(client)
+            server.stop_listening()
+            return await reader.read()
+
+        assert _run(scenario) == b''
+
 
 class TestTimes:
     """Times that a client may take."""
--- a/tests/product/test_faults.py
+++ b/tests/product/test_faults.py
@@ -93,8 +93,8 @@
         Until a host serves on the roster, the keys of all are with the hosts
         that do, and their loss would concern every key.
         """
-        for host in range(len(self.leg.hosts)):
-            self.key_owned_by(host)
+        for number, _ in enumerate(self.leg.hosts):
+            self.key_owned_by(number)
 
     def signal_node(self, host: int, number: signal.Signals) -> None:
         """Send a signal to the node of a host."""
