--- a/fescueknot/objectapi/follower.py
+++ b/fescueknot/objectapi/follower.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 import random
 
 import msgspec
@@ -15,11 +16,13 @@
     """Paces of a follower, in seconds.
 
     ``wait_s`` is how long a watch waits, ``gather_s`` the pause between two
-    watches in which changes gather, so that many changes cost few calls.
+    watches in which changes gather, so that many changes cost few calls, and
+    ``hurried_gather_s`` the pause when somebody is in need of news.
     """
 
     wait_s: float = 25
     gather_s: float = 0.2
+    hurried_gather_s: float = 0.1
     first_retry_s: float = 0.25
     longest_retry_s: float = 1.5
 
@@ -57,7 +60,13 @@
         self._subscriber = subscriber
         self._rng = rng
         self._settings = settings or FollowerSettings()
+        self._retry_s = self._settings.first_retry_s
         self._nudged = asyncio.Event()
+        self._hurried = asyncio.Event()
+
+    def hurry(self) -> None:
+        """End the pause between two watches: something read was outdated."""
+        self._hurried.set()
 
     def nudge(self) -> None:
         """Read now: somebody has seen something newer."""
@@ -65,23 +74,26 @@
 
     async def run(self) -> None:
         """Follow for ever."""
-        retry_s = self._settings.first_retry_s
         while True:
             try:
                 await self._follow()
             except Compacted:
-                retry_s = self._settings.first_retry_s
+                continue
             except ObjectApiError as error:
                 self._subscriber.unreachable(error)
-                await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1))
-                retry_s = min(retry_s * 2, self._settings.longest_retry_s)
-            else:
-                retry_s = self._settings.first_retry_s
+                await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait before the next try, longer after each failure in a row."""
+        await asyncio.sleep(self._retry_s * self._rng.uniform(0.5, 1))
+        doubled_s = self._retry_s * 2
+        self._retry_s = min(doubled_s, self._settings.longest_retry_s)
 
     async def _follow(self) -> None:
         """List, then watch until a nudge or an error."""
         self._nudged.clear()
         listing = await self._store.list(self._kind)
+        self._retry_s = self._settings.first_retry_s
         self._subscriber.listed(listing)
         revision = listing.revision
         while not self._nudged.is_set():
@@ -93,7 +105,16 @@
                 return
             revision = batch.revision
             self._subscriber.changed(batch.events, revision)
-            await asyncio.sleep(self._settings.gather_s)
+            await self._gather()
+
+    async def _gather(self) -> None:
+        """Let changes gather, for a shorter time if somebody hurries."""
+        self._hurried.clear()
+        gather_s = self._settings.gather_s
+        shortest_s = min(self._settings.hurried_gather_s, gather_s)
+        await asyncio.sleep(shortest_s)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._hurried.wait(), gather_s - shortest_s)
 
     async def _unless_nudged(self, watching):
         nudge = asyncio.ensure_future(self._nudged.wait())
--- a/fescueknot/relay/origin.py
+++ b/fescueknot/relay/origin.py
@@ -14,7 +14,13 @@
 from fescueknot.relay.fleet import Destination, Fleet
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
-from fescueknot.relay.messages import Call, CallHead, Ending, Reply
+from fescueknot.relay.messages import (
+    Call,
+    CallHead,
+    Ending,
+    RefusedFor,
+    Reply,
+)
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.peers import PeerNodes
 from fescueknot.relay.runs import Lineage, RunsHere
@@ -30,6 +36,8 @@
 # Callers wait as told for up to this part of the time they have.
 _HONOURED_PART = 3
 _NO_ROUTES_RETRY_AFTER_S = 0.5
+# Refusals that show an entry of the directory to be out of date.
+_OUTDATED = frozenset((RefusedFor.OTHER_TARGET, RefusedFor.NO_TARGET))
 
 
 class Place(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,6 +63,7 @@
         runs: RunsHere,
         levels: LevelsByRoute,
         heed_version: Callable[[int], None],
+        outdated: Callable[[], None],
     ) -> None:
         self._place = place
         self._edge = edge
@@ -66,6 +75,7 @@
         self._runs = runs
         self._levels = levels
         self._heed_version = heed_version
+        self._outdated = outdated
         self.refusing = False
 
     def limits(self) -> Limits:
@@ -248,6 +258,8 @@
             route.name, instance.name, reply.head.level_rank, now_s
         )
         self._heed_version(reply.head.version)
+        if reply.head.refused_for in _OUTDATED:
+            self._outdated()
         self._note(addressed, service, reply, now_s - began_s)
         return reply
 
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -148,6 +148,7 @@
             runs=self._runs,
             levels=self._levels,
             heed_version=self._heed_version,
+            outdated=self._directory_follower.hurry,
         )
         peer_handler = PeerHandler(
             gatekeeper=self._gatekeeper,
--- a/fescueknot/targets/directory.py
+++ b/fescueknot/targets/directory.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from fescueknot.identity import InstanceId
+from fescueknot.identity import Address, InstanceId
 from fescueknot.objectapi.messages import Change, Listing
 from fescueknot.routing.messages import Candidate, CandidateState
 from fescueknot.targets.messages import TargetEntry, TargetState
@@ -20,7 +20,9 @@
 class Directory:
     """Entries by the name of the node that wrote them.
 
-    Entries that can't be read name no target; the others hold.
+    Entries that can't be read name no target; the others hold. Of two nodes
+    at one address the one with the newer target has taken it over: the other
+    was lost and can't remove its entry.
     """
 
     def __init__(self) -> None:
@@ -63,7 +65,7 @@
     ) -> tuple[Candidate, ...]:
         """Return the instances of a service; of two by one name the newer."""
         newest: dict[InstanceId, TargetEntry] = {}
-        for listed in self._by_node.values():
+        for listed in self._holders().values():
             if listed.service == service:
                 newest[instance_id(listed)] = listed
         return tuple(
@@ -84,7 +86,21 @@
         after = None if change.deleted else _decoded(change.value)
         if after is not None:
             self._by_node[node] = after
-        return {entry.service for entry in (before, after) if entry}
+        addresses = {entry.node for entry in (before, after) if entry}
+        return {
+            entry.service
+            for entry in (*self._by_node.values(), before)
+            if entry and entry.node in addresses
+        }
+
+    def _holders(self) -> dict[Address, TargetEntry]:
+        """Return the entry that holds each node address."""
+        holders: dict[Address, TargetEntry] = {}
+        for entry in self._by_node.values():
+            holder = holders.setdefault(entry.node, entry)
+            if entry.started_ms > holder.started_ms:
+                holders[entry.node] = entry
+        return holders
 
 
 def instance_id(entry: TargetEntry) -> InstanceId:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -6,6 +6,7 @@
 
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
+from fescueknot.objectapi import follower as follower_module
 from fescueknot.objectapi.errors import (
     Compacted,
     OutcomeUnknown,
@@ -156,13 +157,14 @@
 class TestFollower:
     """Follower."""
 
-    def _start(self, store, kept):
+    def _start(self, store, kept, **settings):
+        fields = {'gather_s': 0, 'first_retry_s': 0.01, **settings}
         follower = Follower(
             store=store,
             kind='k',
             subscriber=kept,
             rng=seeded(seed=1),
-            settings=FollowerSettings(gather_s=0, first_retry_s=0.01),
+            settings=FollowerSettings(**fields),
         )
         return follower, asyncio.ensure_future(follower.run())
 
@@ -216,3 +218,56 @@
             running.cancel()
 
         _run(scenario)
+
+    def test_a_hurry_ends_the_pause_in_which_changes_gather(self):
+        async def scenario(standin, store):
+            kept = _Kept()
+            follower, running = self._start(
+                store, kept, gather_s=3600, hurried_gather_s=0
+            )
+            await _until(lambda: kept.listings)
+            standin.write('k', 'a', 1)
+            await _until(lambda: kept.changes)
+            standin.write('k', 'b', 2)
+            while len(kept.changes) < 2:
+                follower.hurry()
+                await asyncio.sleep(0.001)
+            running.cancel()
+            return kept.changes[1].key
+
+        assert _run(scenario) == 'k/b'
+
+    def test_pauses_begin_anew_after_a_listing(self, monkeypatch):
+        pauses_s = []
+        sleep = asyncio.sleep
+
+        async def short_sleep(pause_s):
+            pauses_s.append(pause_s)
+            await sleep(0)
+
+        async def scenario(standin, store):
+            kept = _Kept()
+            follower = Follower(
+                store=store,
+                kind='k',
+                subscriber=kept,
+                rng=seeded(seed=1),
+                settings=FollowerSettings(first_retry_s=1, longest_retry_s=99),
+            )
+            monkeypatch.setattr(follower_module.asyncio, 'sleep', short_sleep)
+            standin.failing = 503
+            running = asyncio.ensure_future(follower.run())
+            while len(kept.errors) < 5:
+                await sleep(0.001)
+            standin.failing = 0
+            while not kept.listings:
+                await sleep(0.001)
+            pauses_s.clear()
+            standin.failing = 503
+            follower.nudge()
+            while not pauses_s:
+                await sleep(0.001)
+            running.cancel()
+            return pauses_s[0]
+
+        assert _run(scenario) <= 1
--- a/tests/relay/test_origin.py
+++ b/tests/relay/test_origin.py
@@ -54,6 +54,7 @@
     def __init__(self, replies):
         self.replies = list(replies)
         self.calls = []
+        self.outdated = []
 
     async def send(self, call, node):
         self.calls.append(call)
@@ -125,6 +126,7 @@
         runs=RunsHere(),
         levels=LevelsByRoute(),
         heed_version=lambda version: None,
+        outdated=lambda: peers.outdated.append(len(peers.calls)),
     )
 
 
@@ -144,6 +146,24 @@
     return run(scenario)
 
 
+class TestOutdatedEntries:
+    """Refusals that show the directory to be out of date."""
+
+    @pytest.mark.parametrize(
+        ('refused_for', 'hurries'),
+        [
+            (RefusedFor.OTHER_TARGET, [1]),
+            (RefusedFor.NO_TARGET, [1]),
+            (RefusedFor.OVERLOAD, []),
+            (RefusedFor.LEAVING, []),
+        ],
+    )
+    def test_they_make_the_node_read_on(self, refused_for, hurries):
+        refused = _reply(Ending.REFUSED, refused_for=refused_for)
+        _, peers = _ask(refused, ANSWERED)
+        assert peers.outdated == hurries
+
+
 class TestIdempotent:
     """Idempotent."""
 
--- a/tests/targets/test_directory.py
+++ b/tests/targets/test_directory.py
@@ -72,6 +72,45 @@
         assert list(directory.entries) == ['n2']
 
 
+class TestAddresses:
+    """Two nodes at one address: the newer target holds it."""
+
+    def _names(self, directory):
+        return {
+            found.instance.name
+            for found in directory.candidates('entries', 300, 1.0)
+        }
+
+    def test_the_entry_of_a_lost_node_names_no_target(self):
+        directory = Directory()
+        directory.replace(
+            _listing(
+                lost=_text(_entry('i-old', started_ms=1)),
+                new=_text(_entry('i-new', started_ms=2)),
+            )
+        )
+        assert self._names(directory) == {'i-new'}
+
+    def test_the_service_of_the_lost_one_changes_too(self):
+        directory = Directory()
+        directory.replace(_listing(lost=_text(_entry('i-old'))))
+        new = _change('new', _text(_entry('i-new', 'maps', started_ms=2)))
+        assert directory.apply((new,), 9) == {'entries', 'maps'}
+        assert not self._names(directory)
+
+    def test_it_counts_again_when_the_newer_one_goes(self):
+        directory = Directory()
+        directory.replace(
+            _listing(
+                other=_text(_entry('i-old')),
+                new=_text(_entry('i-new', 'maps', started_ms=2)),
+            )
+        )
+        gone = _change('new', deleted=True)
+        assert directory.apply((gone,), 9) == {'entries', 'maps'}
+        assert self._names(directory) == {'i-old'}
+
+
 class TestChanges:
     """Changes."""
 
