Judge a reply in one place

Cause: two modules knew which status is a failure of a target; a function only named its argument. No change of behaviour; tests/relay passes.

--- a/fescueknot/relay/effort.py
+++ b/fescueknot/relay/effort.py
@@ -7,7 +7,6 @@
 from fescueknot.routes.messages import Route
 
 _MS_PER_S = 1000
-_FIRST_FAILURE_STATUS = 500
 _RETRY_AFTER_S = 0.5
 # Parts of the latency objective that a fresh request may wait in line.
 _FRESH_PATIENCE = 0.12
@@ -88,12 +87,6 @@
         return refusal(min(self._retry_after_s, self._honoured_s))
 
 
-def is_good(reply: Reply) -> bool:
-    """Tell whether a target answered without a failure of its own."""
-    answered = reply.head.ending is Ending.ANSWERED
-    return answered and reply.response.status < _FIRST_FAILURE_STATUS
-
-
 def refusal(retry_after_s: float) -> Response:
     """Return the promise that a request has not run and won't."""
     return Response(
--- a/fescueknot/relay/fleet.py
+++ b/fescueknot/relay/fleet.py
@@ -27,7 +27,6 @@
 from fescueknot.targets.directory import Directory, instance_id
 
 _MS_PER_S = 1000
-_FIRST_FAILURE_STATUS = 500
 # Bytes between regions are slow and paid for: once for a root request, once
 # for each of the many calls that it makes.
 _ROOT_WAY_S = types.MappingProxyType(
@@ -211,8 +210,7 @@
 def _kind(reply: Reply) -> ResultKind:
     head = reply.head
     if head.ending is Ending.ANSWERED:
-        failed = reply.response.status >= _FIRST_FAILURE_STATUS
-        return ResultKind.FAILED if failed else ResultKind.OK
+        return ResultKind.OK if reply.is_good else ResultKind.FAILED
     if head.ending is Ending.REFUSED:
         return _KIND_BY_REFUSAL.get(head.refused_for, ResultKind.UNREACHABLE)
     return _KIND_BY_ENDING[head.ending]
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -1,4 +1,7 @@
-"""Messages between the node of a caller and the node beside a target."""
+"""Messages between the node of a caller and the node beside a target.
+
+Heads have short names on the wire: bytes between regions are paid for.
+"""
 
 import enum
 
@@ -8,10 +11,7 @@
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.relay.runs import Lineage
 
-
-def _short(**names: str) -> dict[str, str]:
-    """Return names on the wire: bytes between regions are paid for."""
-    return names
+_FIRST_FAILURE_STATUS = 500
 
 
 class CallHead(
@@ -19,18 +19,18 @@
     frozen=True,
     kw_only=True,
     omit_defaults=True,
-    rename=_short(
-        attempt='a',
-        instance='i',
-        started_ms='s',
-        idempotent='d',
-        route='r',
-        lineage='l',
-        remaining_ms='t',
-        patience_ms='p',
-        caller_service='c',
-        version='v',
-    ),
+    rename={
+        'attempt': 'a',
+        'instance': 'i',
+        'started_ms': 's',
+        'idempotent': 'd',
+        'route': 'r',
+        'lineage': 'l',
+        'remaining_ms': 't',
+        'patience_ms': 'p',
+        'caller_service': 'c',
+        'version': 'v',
+    },
 ):
     """What the caller's node says of a call.
 
@@ -85,18 +85,18 @@
     frozen=True,
     kw_only=True,
     omit_defaults=True,
-    rename=_short(
-        ending='e',
-        refused_for='f',
-        detail='d',
-        retry_after_s='r',
-        limit='l',
-        in_flight='i',
-        waiting='w',
-        service_ms='s',
-        level_rank='k',
-        version='v',
-    ),
+    rename={
+        'ending': 'e',
+        'refused_for': 'f',
+        'detail': 'd',
+        'retry_after_s': 'r',
+        'limit': 'l',
+        'in_flight': 'i',
+        'waiting': 'w',
+        'service_ms': 's',
+        'level_rank': 'k',
+        'version': 'v',
+    },
 ):
     """What the node beside a target says of a call, and of its load.
 
@@ -122,6 +122,12 @@
     head: AnswerHead
     response: Response | None = None
 
+    @property
+    def is_good(self) -> bool:
+        """Tell whether a target answered without a failure of its own."""
+        answered = self.head.ending is Ending.ANSWERED
+        return answered and self.response.status < _FIRST_FAILURE_STATUS
+
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
     """A call on its way to a target; ``expires_s`` is a loop time."""
--- a/fescueknot/relay/origin.py
+++ b/fescueknot/relay/origin.py
@@ -10,7 +10,7 @@
 from fescueknot.httpio.messages import Limits, Request, Response
 from fescueknot.identity import Address
 from fescueknot.relay.edge import EdgeHeaders
-from fescueknot.relay.effort import Effort, is_good, refusal
+from fescueknot.relay.effort import Effort, refusal
 from fescueknot.relay.fleet import Destination, Fleet
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
@@ -281,7 +281,7 @@
         if reply.head.ending is Ending.REFUSED:
             return True
         if reply.head.ending is not Ending.TURNED_AWAY:
-            if is_good(reply) or not call.head.idempotent:
+            if reply.is_good or not call.head.idempotent:
                 return False
             now_s = asyncio.get_running_loop().time()
             if not self._levels.is_open(route.name, now_s):
@@ -295,7 +295,7 @@
     def _note(
         self, call: Call, service: str, reply: Reply, took_s: float
     ) -> None:
-        if is_good(reply):
+        if reply.is_good:
             return
         self._observer.note(
             'call.reply',
