Tell the life of one request from the logs of nodes: explain-request

Cause: an operator with an id had to grep by hand, and clocks of nodes differ. Tested without clocks in agreement, with logs in any order and lines dropped.

--- a/fescueknot/cli/_mapping.py
+++ b/fescueknot/cli/_mapping.py
@@ -34,6 +34,11 @@
             class_name='Explain',
             summary='say what the layer would do with a request, and why',
         ),
+        'explain-request': Entry(
+            module='fescueknot.cli.explain_request',
+            class_name='ExplainRequest',
+            summary='tell the life of one request from the logs of nodes',
+        ),
         'metrics': Entry(
             module='fescueknot.cli.views',
             class_name='MetricsCommand',
--- /dev/null
+++ b/fescueknot/cli/explain_request.py
@@ -0,0 +1,95 @@
+"""Subcommand ``explain-request``: the life of one request, from logs."""
+
+import json
+import pathlib
+from collections.abc import Iterator, Sequence
+
+import msgspec
+from absl import flags
+
+from fescueknot.cli.command import Command
+from fescueknot.cli.errors import (
+    BadInputError,
+    CommandFailedError,
+    ExitCode,
+)
+from fescueknot.telemetry.request_story import (
+    Decision,
+    RequestStory,
+    Step,
+    read_decisions,
+)
+
+_INDENT = '  '
+_MOST_LOGS = 100_000
+
+
+class ExplainRequest(Command):
+    """Reads the logs of any number of nodes."""
+
+    arguments_help = 'ID LOG...'
+    arguments_min = 2
+    arguments_max = _MOST_LOGS
+    description = (
+        'Prints what nodes decided about one request and the calls that it '
+        'led to, in order of cause, and the line that decided how it ended. '
+        'LOG is what a node, or a collector of many, wrote; ID is the id of '
+        "the caller's attempt."
+    )
+
+    def define_flags(self) -> None:
+        """Add the format."""
+        super().define_flags()
+        flags.DEFINE_boolean(
+            'json',
+            default=False,
+            help='Print one JSON document.',
+            flag_values=self.flags,
+        )
+
+    def run(self, arguments: Sequence[str]) -> int:
+        """Read the logs and print the story."""
+        request_id, *paths = arguments
+        story = RequestStory(request_id=request_id, decisions=_decisions(paths))
+        steps = story.steps()
+        if not steps:
+            raise CommandFailedError(
+                f'no line about {request_id}: other nodes took it, or its '
+                'lines were dropped; look for log.dropped'
+            )
+        show = _show_json if self.flags.json else _show_text
+        show(steps, story.deciding())
+        return ExitCode.OK
+
+
+def _decisions(paths: Sequence[str]) -> Iterator[Decision]:
+    for path in paths:
+        try:
+            with pathlib.Path(path).open(errors='replace') as lines:
+                yield from read_decisions(lines)
+        except OSError as error:
+            raise BadInputError(f'{path}: {error.strerror}') from error
+
+
+def _show_text(steps: tuple[Step, ...], deciding: Decision | None) -> None:
+    for step in steps:
+        print(_INDENT * step.depth + _sentence(step.decision))
+    if deciding is not None:
+        print(f'decided by: {_sentence(deciding)}')
+
+
+def _show_json(steps: tuple[Step, ...], deciding: Decision | None) -> None:
+    document = {
+        'steps': msgspec.to_builtins(steps),
+        'decided_by': msgspec.to_builtins(deciding),
+    }
+    print(json.dumps(document, indent=2))
+
+
+def _sentence(decision: Decision) -> str:
+    details = ' '.join(
+        f'{name}={found}'
+        for name, found in decision.details.items()
+        if found not in ('', None)
+    )
+    return f'{decision.node} {decision.event} {details}'
--- /dev/null
+++ b/fescueknot/telemetry/request_story.py
@@ -0,0 +1,194 @@
+"""The life of one request, put together from the lines of many nodes.
+
+Clocks of nodes differ, so the order is that of cause: a call is asked of
+targets one after the other; what a target's own calls met comes before its
+answer, and its answer before that of the call.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+# The id of a call begins with that of the run that made it, and a dot.
+_ID_SEPARATOR = '.'
+_FIRST_FAILURE_STATUS = 500
+_ENDED = frozenset(('call.ended', 'call.shed'))
+_AT_GATE = frozenset(('gate.sent', 'gate.refused'))
+_HEAD_FIELDS = frozenset(('time_s', 'node', 'event', 'id'))
+_REPLY = 'call.reply'
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of a node's log about one request."""
+
+    time_s: float
+    node: str
+    event: str
+    request_id: str
+    details: dict[str, Any]
+
+    @property
+    def instance(self) -> str:
+        """Return the target that the line speaks of, empty for none."""
+        return self.details.get('instance', '')
+
+    @property
+    def failed(self) -> bool:
+        """Tell whether the line is of a call or answer that went wrong."""
+        if self.event == 'gate.refused':
+            return True
+        if self.details.get('ending', 'answered') != 'answered':
+            return True
+        return self.details.get('status', 0) >= _FIRST_FAILURE_STATUS
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """A decision and how many calls deep it was taken."""
+
+    depth: int
+    decision: Decision
+
+
+def read_decisions(lines: Iterable[str]) -> Iterator[Decision]:
+    """Yield the decisions about requests; other lines are passed over.
+
+    Whatever stands before the first brace, such as a collector's stamp, is
+    cut off.
+    """
+    for line in lines:
+        _, brace, rest = line.partition('{')
+        fields = _fields(brace + rest)
+        if fields.keys() >= _HEAD_FIELDS:
+            yield Decision(
+                time_s=fields['time_s'],
+                node=fields['node'],
+                event=fields['event'],
+                request_id=fields['id'],
+                details={
+                    name: found
+                    for name, found in fields.items()
+                    if name not in _HEAD_FIELDS
+                },
+            )
+
+
+class RequestStory:
+    """All decisions about one request and the calls that it led to."""
+
+    def __init__(
+        self, *, request_id: str, decisions: Iterable[Decision]
+    ) -> None:
+        self._request_id = request_id
+        self._by_id: dict[str, list[Decision]] = {}
+        inner = request_id + _ID_SEPARATOR
+        for decision in decisions:
+            found = decision.request_id
+            if found == request_id or found.startswith(inner):
+                self._by_id.setdefault(found, []).append(decision)
+
+    def steps(self) -> tuple[Step, ...]:
+        """Return the decisions in order of cause; none for an unknown id."""
+        return tuple(self._steps(self._request_id, 0))
+
+    def deciding(self) -> Decision | None:
+        """Return the line that decided how the request ended.
+
+        Of a request that failed it is the last failure on the deepest call
+        that failed; of any other its end.
+        """
+        return self._deciding(self._request_id)
+
+    def _deciding(self, request_id: str) -> Decision | None:
+        lines = self._by_id.get(request_id, [])
+        end = _end(lines)
+        if end is not None and not _went_wrong(end):
+            return end
+        failures = [
+            line
+            for line in _in_order(lines)
+            if line.failed and line.event not in _ENDED
+        ]
+        last = failures[-1] if failures else end
+        if last is None or last.details.get('ending') != 'answered':
+            return last
+        inner = [
+            self._deciding(call)
+            for call in self._calls_of(request_id)
+            if any(line.failed for line in self._by_id[call])
+        ]
+        return inner[-1] if inner else last
+
+    def _steps(self, request_id: str, depth: int) -> Iterator[Step]:
+        lines = self._by_id.get(request_id, [])
+        gates = [line for line in lines if line.event in _AT_GATE]
+        nodes_with_calls = self._nodes_of_calls(request_id)
+        for line in _in_order(lines):
+            if line in gates and line.node in nodes_with_calls:
+                for call in nodes_with_calls.pop(line.node):
+                    yield from self._steps(call, depth + 1)
+            yield Step(depth=depth, decision=line)
+        # Lines of the gate may have been dropped under load.
+        for calls in nodes_with_calls.values():
+            for call in calls:
+                yield from self._steps(call, depth + 1)
+
+    def _nodes_of_calls(self, request_id: str) -> dict[str, list[str]]:
+        """Return the calls that a request led to, by the node they left."""
+        by_node: dict[str, list[str]] = {}
+        for call in self._calls_of(request_id):
+            end = _end(self._by_id[call])
+            node = end.node if end else ''
+            by_node.setdefault(node, []).append(call)
+        return by_node
+
+    def _calls_of(self, request_id: str) -> list[str]:
+        """Return the ids one level below, in the order of their end."""
+        inner = request_id + _ID_SEPARATOR
+        calls = [
+            found
+            for found in self._by_id
+            if found.startswith(inner)
+            and _ID_SEPARATOR not in found[len(inner) :]
+        ]
+        return sorted(
+            calls, key=lambda call: max(one.time_s for one in self._by_id[call])
+        )
+
+
+def _fields(text: str) -> dict[str, Any]:
+    try:
+        fields = msgspec.json.decode(text.strip())
+    except (msgspec.DecodeError, UnicodeError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _end(lines: list[Decision]) -> Decision | None:
+    return next((line for line in lines if line.event in _ENDED), None)
+
+
+def _went_wrong(end: Decision) -> bool:
+    return end.details.get('status', 0) >= _FIRST_FAILURE_STATUS
+
+
+def _in_order(lines: list[Decision]) -> list[Decision]:
+    """Return the lines of one call in order of cause.
+
+    Targets are asked one after the other, each once, as the replies on the
+    caller's clock tell; a gate's line comes before the reply, and a call that
+    got no reply before the end.
+    """
+    replies = sorted(
+        (line for line in lines if line.event == _REPLY),
+        key=lambda line: line.time_s,
+    )
+    asked = {line.instance: turn for turn, line in enumerate(replies)}
+    return sorted(
+        lines,
+        key=lambda line: (
+            line.event in _ENDED,
+            asked.get(line.instance, len(asked)),
+            line.event == _REPLY,
+        ),
+    )
--- /dev/null
+++ b/tests/telemetry/test_request_story.py
@@ -0,0 +1,111 @@
+"""The life of a request, read from the lines of nodes with other clocks."""
+
+import json
+
+import pytest
+
+from fescueknot.telemetry.request_story import RequestStory, read_decisions
+
+
+def _line(node, event, request_id, time_s=1.5, **details):
+    fields = {'time_s': time_s, 'node': node, 'event': event, 'id': request_id}
+    return json.dumps({**fields, **details})
+
+
+def _story(*lines, request_id='r'):
+    return RequestStory(request_id=request_id, decisions=read_decisions(lines))
+
+
+def _events(story):
+    return [
+        (step.depth, step.decision.node, step.decision.event)
+        for step in story.steps()
+    ]
+
+
+# A root request at node a, run beside b, whose call is refused beside c; the
+# clock of c is an hour ahead, that of b an hour behind.
+_FAILED = (
+    _line('a', 'call.ended', 'r', 10.3, depth=0, status=500),
+    _line('a', 'call.reply', 'r', 10.2, instance='i-b', ending='answered',
+          status=500),
+    _line('b', 'gate.sent', 'r', -3589.8, instance='i-b', ending='answered',
+          status=500),
+    _line('b', 'call.ended', 'r.1', -3589.9, depth=1, status=503),
+    _line('b', 'call.reply', 'r.1', -3589.91, instance='i-c',
+          ending='refused', status=0),
+    _line('c', 'gate.refused', 'r.1', 3610.0, instance='i-c',
+          reason='the target is full', detail='waited too long'),
+    _line('a', 'call.ended', 'other', 10.3, depth=0, status=200),
+)  # fmt: skip
+
+
+class TestReading:
+    """Reading."""
+
+    @pytest.mark.parametrize(
+        'line',
+        [
+            '',
+            'started',
+            '{"time_s": 1',
+            '["time_s"]',
+            _line('a', 'call.ended', 'r').replace('"id"', '"name"'),
+        ],
+    )
+    def test_other_lines_are_passed_over(self, line):
+        assert not tuple(read_decisions([line]))
+
+    def test_what_a_collector_puts_before_a_line_is_cut_off(self):
+        stamped = '12.5 node-a ' + _line('a', 'call.shed', 'r', status=503)
+        (decision,) = read_decisions([stamped])
+        assert (decision.node, decision.details) == ('a', {'status': 503})
+
+
+class TestOrder:
+    """Causes before what they led to."""
+
+    @pytest.mark.parametrize('turned', [False, True])
+    def test_it_hangs_on_no_clock_and_no_order_of_logs(self, turned):
+        lines = tuple(reversed(_FAILED)) if turned else _FAILED
+        assert _events(_story(*lines)) == [
+            (1, 'c', 'gate.refused'),
+            (1, 'b', 'call.reply'),
+            (1, 'b', 'call.ended'),
+            (0, 'b', 'gate.sent'),
+            (0, 'a', 'call.reply'),
+            (0, 'a', 'call.ended'),
+        ]
+
+    def test_calls_are_told_when_the_line_of_their_gate_was_dropped(self):
+        lines = (line for line in _FAILED if 'gate.sent' not in line)
+        assert (1, 'b', 'call.ended') in _events(_story(*lines))
+
+    def test_an_unknown_id_has_no_steps(self):
+        story = _story(*_FAILED, request_id='none')
+        assert (story.steps(), story.deciding()) == ((), None)
+
+
+class TestDecidingLine:
+    """The line that decided how the request ended."""
+
+    def test_of_a_failure_it_is_on_the_deepest_call_that_failed(self):
+        deciding = _story(*_FAILED).deciding()
+        assert deciding.request_id == 'r.1'
+        assert deciding.event in {'gate.refused', 'call.reply'}
+
+    def test_of_a_success_it_is_the_end(self):
+        deciding = _story(*_FAILED, request_id='other').deciding()
+        assert deciding.details['status'] == 200
+
+    def test_of_a_refusal_before_any_work_it_is_the_refusal(self):
+        shed = _line('a', 'call.shed', 'r', status=503)
+        assert _story(shed).deciding().event == 'call.shed'
+
+    def test_of_a_lost_answer_it_is_the_gate_that_lost_it(self):
+        lines = (
+            _line('a', 'call.ended', 'r', depth=0, status=502),
+            _line('b', 'gate.sent', 'r', instance='i', ending='unknown',
+                  status=0, detail='connection lost'),
+        )  # fmt: skip
+        assert _story(*lines).deciding().details['detail'] == 'connection lost'
