--- a/fescueknot/cli/rules_access.py
+++ b/fescueknot/cli/rules_access.py
@@ -17,9 +17,12 @@
 
 
 def read_rules_file(path: str) -> str:
-    """Return the text of a rules file; raise :class:`BadInputError`."""
+    """Return the text of a rules file, without a byte-order mark.
+
+    Raises :class:`BadInputError`.
+    """
     try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
+        return pathlib.Path(path).read_text(encoding='utf-8-sig')
     except OSError as error:
         raise BadInputError(f"{path}: can't be read: {error.strerror}") from (
             error
--- a/tests/cli/test_rules.py
+++ b/tests/cli/test_rules.py
@@ -48,6 +48,12 @@
         assert f'{file}:2:8' in told
         assert 'fix:' in told
 
+    def test_a_byte_order_mark_is_no_part_of_a_name(
+        self, file: pathlib.Path
+    ) -> None:
+        file.write_text(_GOOD, encoding='utf-8-sig')
+        assert _run('check', str(file)) == 0
+
     def test_unknown_action(self, capsys: pytest.CaptureFixture[str]) -> None:
         assert _run('aply') == 2
         assert 'no action "aply"; known: check' in capsys.readouterr().err
