--- a/fescueknot/telemetry/request_story.py
+++ b/fescueknot/telemetry/request_story.py
@@ -13,6 +13,7 @@
 # The id of a call begins with that of the run that made it, and a dot.
 _ID_SEPARATOR = '.'
 _FIRST_FAILURE_STATUS = 500
+_REFUSAL_STATUS = 503
 _ENDED = frozenset(('call.ended', 'call.shed'))
 _AT_GATE = frozenset(('gate.sent', 'gate.refused'))
 _HEAD_FIELDS = frozenset(('time_s', 'node', 'event', 'id'))
@@ -33,6 +34,16 @@
         """Return the target that the line speaks of, empty for none."""
         return self.details.get('instance', '')
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether nobody knows what became of the call."""
+        return self.details.get('ending') == 'unknown'
+
+    @property
+    def refused(self) -> bool:
+        """Tell whether the caller was promised that nothing has run."""
+        return self.details.get('status') == _REFUSAL_STATUS
+
     @property
     def failed(self) -> bool:
         """Tell whether the line is of a call or answer that went wrong."""
@@ -94,8 +105,9 @@
     def deciding(self) -> Decision | None:
         """Return the line that decided how the request ended.
 
-        Of a request that failed it is the last failure on the deepest call
-        that failed; of any other its end.
+        Of a request whose outcome is unknown it is the lost answer, of any
+        other that failed the last failure on the deepest call that failed; of
+        one that was served its end.
         """
         return self._deciding(self._request_id)
 
@@ -109,6 +121,9 @@
             for line in _in_order(lines)
             if line.failed and line.event not in _ENDED
         ]
+        lost = [line for line in failures if line.lost]
+        if lost and end is not None and not end.refused:
+            return lost[-1]
         last = failures[-1] if failures else end
         if last is None or last.details.get('ending') != 'answered':
             return last
--- a/tests/telemetry/test_request_story.py
+++ b/tests/telemetry/test_request_story.py
@@ -109,3 +109,12 @@
                   status=0, detail='connection lost'),
         )  # fmt: skip
         assert _story(*lines).deciding().details['detail'] == 'connection lost'
+
+    def test_a_refusal_elsewhere_is_no_cause_of_an_unknown_outcome(self):
+        lines = (
+            _line('a', 'call.ended', 'r', depth=0, status=502),
+            _line('a', 'call.reply', 'r', instance='i', ending='unknown',
+                  status=0),
+            _line('c', 'gate.refused', 'r', instance='j', detail='full'),
+        )  # fmt: skip
+        assert _story(*lines).deciding().instance == 'i'
