Look at a far tier only when its target is asked for

Cause: the preference that the relay brought took the best target of every tier before it chose, so the older node's pick, which stops at the nearest tier with room, paid for all tiers: 204 to 217 calls a decision against 124 before the relay (profile of 10,000 decisions), 36 us against 18. Change: preferences get an iterator; the relay's own, which weighs all tiers, draws and chooses as before. Test first (4 draws where 1 is due).

--- a/fescueknot/routing/picker.py
+++ b/fescueknot/routing/picker.py
@@ -96,15 +96,15 @@
         """
         if not self._records:
             return NoTarget(reason=NoTargetReason.NONE_KNOWN)
-        best = tuple(
+        best = (
             record
             for members in self._tiers
             if (record := self._better_of_two(members, now_s, rng, exclude))
         )
-        if not best:
-            return self._last_resort(now_s, exclude)
         weighing = preference or self._preference
         chosen = weighing.choose(best, rank, now_s)
+        if chosen is None:
+            return self._last_resort(now_s, exclude)
         return self._picked(chosen, now_s)
 
     def started(self, instance: InstanceId) -> None:
--- a/fescueknot/routing/preference.py
+++ b/fescueknot/routing/preference.py
@@ -1,7 +1,7 @@
 """Weighing near targets against far ones."""
 
 import abc
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping
 
 import msgspec
 
@@ -14,22 +14,28 @@
 
     @abc.abstractmethod
     def choose(
-        self, best: Sequence[TargetRecord], rank: float, now_s: float
-    ) -> TargetRecord:
-        """Return one of ``best``, which is not empty; nearest tier first."""
+        self, best: Iterator[TargetRecord], rank: float, now_s: float
+    ) -> TargetRecord | None:
+        """Return one of ``best``, or ``None`` when there is none.
+
+        The nearest tier comes first; a tier is looked at when its target is
+        asked for.
+        """
 
 
 class NearestWithRoom(Preference):
     """The nearest target that has room, otherwise the nearest one."""
 
     def choose(
-        self, best: Sequence[TargetRecord], rank: float, now_s: float
-    ) -> TargetRecord:
+        self, best: Iterator[TargetRecord], rank: float, now_s: float
+    ) -> TargetRecord | None:
         """Return the nearest target that takes the call or is on trial."""
+        nearest: TargetRecord | None = None
         for record in best:
             if record.takes(rank, now_s) or record.is_due(now_s):
                 return record
-        return best[0]
+            nearest = nearest or record
+        return nearest
 
 
 class CostSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,10 +63,14 @@
         self._settings = settings
 
     def choose(
-        self, best: Sequence[TargetRecord], rank: float, now_s: float
-    ) -> TargetRecord:
+        self, best: Iterator[TargetRecord], rank: float, now_s: float
+    ) -> TargetRecord | None:
         """Return the cheapest target; one due for a trial waits for none."""
-        return min(best, key=lambda record: self._cost_s(record, rank, now_s))
+        return min(
+            best,
+            key=lambda record: self._cost_s(record, rank, now_s),
+            default=None,
+        )
 
     def _cost_s(self, record: TargetRecord, rank: float, now_s: float) -> float:
         cost_s = self._settings.way_s[record.tier]
--- a/tests/routing/test_picker.py
+++ b/tests/routing/test_picker.py
@@ -1,6 +1,7 @@
 """Choice of targets: locality, draining, ejection, ramps, subsets."""
 
 import collections
+import random
 import types
 
 import msgspec
@@ -103,6 +104,27 @@
         assert pick.tier is Tier.OWN_HOST
 
 
+class _CountingRandom(random.Random):
+    """Counts the draws."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.draws = 0
+
+    def random(self):
+        self.draws += 1
+        return super().random()
+
+
+class TestCost:
+    """What a pick looks at."""
+
+    def test_far_tiers_are_not_looked_at_while_the_nearest_has_room(self):
+        rng = _CountingRandom(1)
+        assert _picker().pick(0, rng).tier is Tier.OWN_HOST
+        assert rng.draws == 1
+
+
 class TestDraining:
     """A target that is leaving."""
 
