--- a/fescueknot/httpio/encoding.py
+++ b/fescueknot/httpio/encoding.py
@@ -5,9 +5,10 @@
 from fescueknot.httpio.messages import Headers, Request, Response
 
 # RFC 9110, 7.6.1: these concern one connection and are not passed on.
-_ONE_CONNECTION = frozenset(
+ONE_CONNECTION = frozenset(
     (
         'connection',
+        'content-length',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -16,10 +17,10 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
-        'content-length',
-        'expect',
     )
 )
+# Answered here, before the body is read.
+_NOT_PASSED = ONE_CONNECTION | {'expect'}
 _BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -30,7 +31,7 @@
     return tuple(
         (name, value)
         for name, value in headers
-        if name not in _ONE_CONNECTION and name not in named
+        if name not in _NOT_PASSED and name not in named
     )
 
 
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -33,11 +33,6 @@
         self._head_bytes = 0
         self._body_bytes = 0
 
-    @property
-    def held_bytes(self) -> int:
-        """Return how many bytes of an unfinished message are held."""
-        return self._head_bytes + self._body_bytes
-
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
         self._head_bytes += len(name) + len(value) + _HEADER_EXTRA_BYTES
--- a/fescueknot/node/headers.py
+++ b/fescueknot/node/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from fescueknot.httpio.encoding import ONE_CONNECTION
 from fescueknot.node.messages import (
     Header,
     HttpRequest,
@@ -23,23 +24,8 @@
 TRACEPARENT = 'traceparent'
 CONTENT_TYPE = 'Content-Type'
 
-# Fields that hold for one connection only (RFC 9110, section 7.6.1), and
-# those that the sending library writes itself.
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
+# The sending library writes the host itself.
+_HOP_BY_HOP = ONE_CONNECTION | {'host'}
 
 
 def key_of(request: HttpRequest) -> str:
--- a/fescueknot/targets/directory.py
+++ b/fescueknot/targets/directory.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self._by_node: dict[str, TargetEntry] = {}
+        self._by_address: dict[Address, TargetEntry] = {}
         self._first_seen_s: dict[InstanceId, float] = {}
         self.revision = 0
         self.is_known = False
@@ -48,6 +49,7 @@
             for entry in (*found.values(), *self._by_node.values())
         }
         self._by_node = found
+        self._by_address = self._holders()
         self.revision = listing.revision
         self.is_known = True
         return changed
@@ -57,6 +59,7 @@
         touched: set[str] = set()
         for change in changes:
             touched |= self._apply_one(change)
+        self._by_address = self._holders()
         self.revision = max(self.revision, revision)
         return touched
 
@@ -65,7 +68,7 @@
     ) -> tuple[Candidate, ...]:
         """Return the instances of a service; of two by one name the newer."""
         newest: dict[InstanceId, TargetEntry] = {}
-        for listed in self._holders().values():
+        for listed in self._by_address.values():
             if listed.service == service:
                 newest[instance_id(listed)] = listed
         return tuple(
--- a/fescueknot/telemetry/request_story.py
+++ b/fescueknot/telemetry/request_story.py
@@ -136,10 +136,9 @@
 
     def _steps(self, request_id: str, depth: int) -> Iterator[Step]:
         lines = self._by_id.get(request_id, [])
-        gates = [line for line in lines if line.event in _AT_GATE]
         nodes_with_calls = self._nodes_of_calls(request_id)
         for line in _in_order(lines):
-            if line in gates and line.node in nodes_with_calls:
+            if line.event in _AT_GATE and line.node in nodes_with_calls:
                 for call in nodes_with_calls.pop(line.node):
                     yield from self._steps(call, depth + 1)
             yield Step(depth=depth, decision=line)
--- a/tests/relay/parts.py
+++ b/tests/relay/parts.py
@@ -2,8 +2,12 @@
 
 import asyncio
 
+import msgspec
+
 from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Request, Response
+from fescueknot.identity import Address
+from fescueknot.objectapi.messages import Listing, StoredObject
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
@@ -17,7 +21,7 @@
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.runs import Lineage, RunsHere
 from fescueknot.targets.local import LeavingBounds, LocalTarget
-from fescueknot.targets.messages import Announcement
+from fescueknot.targets.messages import Announcement, TargetEntry
 
 ANSWERED = Reply(
     head=AnswerHead(ending=Ending.ANSWERED),
@@ -85,6 +89,31 @@
     return Announcement(**{**fields, **changes})
 
 
+def listing(place, *ports):
+    """Return the store's entries of targets ``i-PORT`` behind some ports."""
+    entries = (
+        TargetEntry(
+            instance=f'i-{port}',
+            started_ms=1,
+            service='entries',
+            place=place,
+            node=Address(host='10.0.0.1', port=port),
+            slots=6,
+        )
+        for port in ports
+    )
+    objects = tuple(
+        StoredObject(
+            key=f'k/n{entry.node.port}',
+            value=msgspec.json.encode(entry).decode(),
+            version=1,
+            revision=1,
+        )
+        for entry in entries
+    )
+    return Listing(objects=objects, revision=1)
+
+
 class Gate:
     """A gatekeeper with all that stands around it."""
 
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -1,10 +1,7 @@
 """The fleet's pickers while targets come and go."""
 
-import msgspec
-
 from fescueknot.calls import Importance
 from fescueknot.identity import Address, InstanceId, Place
-from fescueknot.objectapi.messages import Listing, StoredObject
 from fescueknot.randomness import seeded
 from fescueknot.relay.fleet import Fleet, viewpoint_of
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
@@ -12,7 +9,7 @@
 from fescueknot.retries.budget import BudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import Directory
-from fescueknot.targets.messages import TargetEntry
+from tests.relay.parts import listing
 
 _PLACE = Place(region='sierra', failure_domain='sierra-a')
 _LINEAGE = Lineage(root='r', importance=Importance.NORMAL)
@@ -37,28 +34,6 @@
         self.gone &= known
 
 
-def _listing(*ports):
-    objects = []
-    for port in ports:
-        entry = TargetEntry(
-            instance=f'i-{port}',
-            started_ms=1,
-            service='entries',
-            place=_PLACE,
-            node=Address(host='10.0.0.1', port=port),
-            slots=6,
-        )
-        objects.append(
-            StoredObject(
-                key=f'k/n{port}',
-                value=msgspec.json.encode(entry).decode(),
-                version=1,
-                revision=1,
-            )
-        )
-    return Listing(objects=tuple(objects), revision=1)
-
-
 def _fleet(*ports):
     directory = Directory()
     nodes = _Nodes()
@@ -71,7 +46,7 @@
         reachability=nodes,
         rng=rng,
     )
-    fleet.refresh(directory.replace(_listing(*ports)), 0)
+    fleet.refresh(directory.replace(listing(_PLACE, *ports)), 0)
     return fleet, directory, nodes
 
 
@@ -96,6 +71,6 @@
         fleet, directory, nodes = _fleet(1, 2)
         instance = InstanceId(name='i-1', incarnation=1)
         fleet.started('entries', instance, 0)
-        fleet.refresh(directory.replace(_listing(2)), 1)
+        fleet.refresh(directory.replace(listing(_PLACE, 2)), 1)
         fleet.finished('entries', instance, _UNREACHABLE, 0.1, 1)
         assert not nodes.gone
--- a/tests/relay/test_origin.py
+++ b/tests/relay/test_origin.py
@@ -2,13 +2,11 @@
 
 import asyncio
 
-import msgspec
 import pytest
 
 from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address, Place
-from fescueknot.objectapi.messages import Listing, StoredObject
 from fescueknot.randomness import seeded
 from fescueknot.relay import origin as origins
 from fescueknot.relay.edge import EdgeHeaders
@@ -26,8 +24,7 @@
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
 from fescueknot.targets.directory import Directory
-from fescueknot.targets.messages import TargetEntry
-from tests.relay.parts import Notes, run
+from tests.relay.parts import Notes, listing, run
 
 _HERE = Place(region='sierra', failure_domain='sierra-a')
 _EDGE = EdgeHeaders()
@@ -66,25 +63,7 @@
 
 def _directory(count):
     directory = Directory()
-    objects = []
-    for index in range(count):
-        entry = TargetEntry(
-            instance=f'i-{index}',
-            started_ms=1,
-            service='entries',
-            place=_HERE,
-            node=Address(host='10.0.0.1', port=index + 1),
-            slots=6,
-        )
-        objects.append(
-            StoredObject(
-                key=f'k/n{index}',
-                value=msgspec.json.encode(entry).decode(),
-                version=1,
-                revision=1,
-            )
-        )
-    directory.replace(Listing(objects=tuple(objects), revision=1))
+    directory.replace(listing(_HERE, *range(1, count + 1)))
     return directory
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from tools.soak.node import SoakNode
-from tools.soak.proxy import Mode
+from tools.soak.proxy import Mode, Proxy
 from tools.soak.target import SoakTarget
 from tools.soak.world import DRAIN_S, World
 
@@ -21,6 +21,13 @@
     node.start()
 
 
+async def _harm(world: World, link: Proxy) -> None:
+    link.mode = world.rng.choice(list(Mode))
+    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
+    link.mode = Mode.CLEAR
+    link.reset()
+
+
 async def kill(world: World, index: int) -> None:
     """SIGKILL a node; it starts again."""
     node = world.nodes[index]
@@ -70,20 +77,12 @@
 
 async def store_link(world: World, index: int) -> None:
     """Harm the link of one node to the store."""
-    proxy = world.nodes[index].store
-    proxy.mode = world.rng.choice(list(Mode))
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    proxy.mode = Mode.CLEAR
-    proxy.reset()
+    await _harm(world, world.nodes[index].store)
 
 
 async def target_link(world: World, index: int) -> None:
     """Harm the link of one node to its target."""
-    proxy = world.nodes[index].target
-    proxy.mode = world.rng.choice(list(Mode))
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    proxy.mode = Mode.CLEAR
-    proxy.reset()
+    await _harm(world, world.nodes[index].target)
 
 
 async def reset_target_link(world: World, index: int) -> None:
--- a/tools/soak/node.py
+++ b/tools/soak/node.py
@@ -43,11 +43,6 @@
         host, _, port = self._ports[role].partition(':')
         return Address(host=host, port=int(port))
 
-    @property
-    def log_path(self) -> pathlib.Path:
-        """Return where the node's output goes."""
-        return self._log
-
     def configure(self, drain_s: float, grace_s: float) -> None:
         """Write the settings; the proxies have started."""
         settings = {
