Read and log what targets announce about themselves

The dispatcher reads rate limit and leaving from each answer; the gatekeeper logs a change (target.announced), and two gauges show the last one. No decision changes.

--- a/fescueknot/platform/headers.py
+++ b/fescueknot/platform/headers.py
@@ -11,4 +11,6 @@
     signature='x-fescueknot-response-signature',
     not_executed='x-fescueknot-not-executed',
     load='x-fescueknot-server-load',
+    rate_limit='server-limit',
+    leaving='server-leaving',
 )
--- a/fescueknot/relay/dispatch.py
+++ b/fescueknot/relay/dispatch.py
@@ -4,11 +4,14 @@
 import asyncio
 import math
 
+import msgspec
+
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.encoding import end_to_end
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.messages import Headers, Request, Response
 from fescueknot.identity import Address
+from fescueknot.relay.announcement import read_announcement
 from fescueknot.relay.header_names import (
     ANSWER_HEADER,
     CALL_HEADER,
@@ -86,7 +89,11 @@
             return reply_without_response(Ending.UNKNOWN, str(error))
         except TimeoutError:
             return reply_without_response(Ending.UNKNOWN, 'no answer in time')
-        return self._classify(response)
+        reply = self._classify(response)
+        if reply.head.refused_for is RefusedFor.OTHER_TARGET:
+            return reply
+        announcement = read_announcement(response, self._header_names)
+        return msgspec.structs.replace(reply, announcement=announcement)
 
     def _request(self, call: Call) -> Request:
         remaining_s = call.expires_s - asyncio.get_running_loop().time()
--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -13,6 +13,7 @@
     Refuse,
 )
 from fescueknot.admission.rank import OPEN_RANK, rank_of_level
+from fescueknot.relay.announced_state import AnnouncedState
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.messages import (
@@ -75,6 +76,7 @@
         self._queue = SlotQueue(slots=1)
         self._queue_key: tuple[str, int, int] | None = None
         self._logged_limit = 0
+        self.announced = AnnouncedState(observer=observer)
         self.stopping = False
 
     async def submit(self, call: Call) -> Reply:
@@ -198,6 +200,10 @@
         finally:
             failed_below = self._runs.end(run_id)
         self._note_sent(call, reply, began_s)
+        if reply.announcement is not None:
+            self.announced.record(
+                call.head.instance, call.head.started_ms, reply.announcement
+            )
         if reply.head.refused_for is RefusedFor.OTHER_TARGET:
             self._target.remove_mismatched(call.head.instance)
         head = msgspec.structs.replace(reply.head, failed_below=failed_below)
--- a/fescueknot/relay/header_names.py
+++ b/fescueknot/relay/header_names.py
@@ -8,7 +8,9 @@
 
     ``signature`` marks an answer made by a target, ``not_executed`` an answer
     of a target that did no work. ``load`` holds the number of running and
-    waiting requests and of slots of a target.
+    waiting requests and of slots of a target. ``rate_limit`` holds the
+    requests a second that a target accepts from all hosts together,
+    ``leaving`` marks the answers of a target that leaves.
     """
 
     attempt: str = 'attempt-id'
@@ -19,6 +21,8 @@
     signature: str = 'response-signature'
     not_executed: str = 'not-executed'
     load: str = 'server-load'
+    rate_limit: str = 'rate-limit'
+    leaving: str = 'leaving'
 
 
 # Between two nodes: head of a call (CallHead) and head of its answer
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -10,6 +10,7 @@
 
 from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Request, Response
+from fescueknot.relay.announcement import Announcement
 from fescueknot.relay.runs import Lineage
 
 FIRST_FAILURE_STATUS = 500
@@ -122,10 +123,14 @@
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of a call, with the target's response if there is one."""
+    """Result of a call, with the target's response if there is one.
+
+    ``announcement`` is that of the target's answer, at its own node only.
+    """
 
     head: AnswerHead
     response: Response | None = None
+    announcement: Announcement | None = None
 
     @property
     def is_success(self) -> bool:
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -216,6 +216,14 @@
             ('slots', lambda: self._gatekeeper.load().limit),
             ('slots_in_use', lambda: self._gatekeeper.load().in_flight),
             ('waiting', lambda: self._gatekeeper.load().waiting),
+            (
+                'target_rate_limit_per_s',
+                lambda: self._gatekeeper.announced.rate_limit_per_s,
+            ),
+            (
+                'target_leaving',
+                lambda: self._gatekeeper.announced.is_leaving,
+            ),
             (
                 'target_connections_opened',
                 lambda: self._dispatcher.connections_opened,
