--- /dev/null
+++ b/tests/relay/simulated_fleet.py
@@ -0,0 +1,249 @@
+"""Nodes of one service in one event loop, without sockets.
+
+Calls between nodes are encoded and decoded as on the wire.
+"""
+
+import asyncio
+import itertools
+
+from fescueknot.httpio.errors import NotSentError
+from fescueknot.httpio.messages import Request, Response
+from fescueknot.identity import Address
+from fescueknot.randomness import seeded
+from fescueknot.relay.announcement import Announcement
+from fescueknot.relay.caller_handler import CallerHandler, LocalNode
+from fescueknot.relay.dispatch import Dispatcher
+from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.levels_by_route import LevelsByRoute
+from fescueknot.relay.messages import AnswerHead, Ending, Reply
+from fescueknot.relay.peers import PeerHandler, PeerNodes
+from fescueknot.relay.reachability import Reachability
+from fescueknot.relay.runs import LocalRuns
+from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
+from fescueknot.retries.shared_budget import SharedBudgetSettings
+from fescueknot.routes.in_force import RoutesInForce
+from fescueknot.routes.messages import Configuration, Route, WeightedService
+from fescueknot.targets.directory import TargetDirectory
+from fescueknot.targets.local_target import LeavingBounds, LocalTarget
+from fescueknot.targets.messages import Heartbeat
+from tests.relay.caller_handlers import HEADER_NAMES, HERE
+from tests.relay.fakes import RecordingObserver, target_documents
+
+SERVICE = 'entries'
+_SLOTS = 6
+DRAIN_S = 2.5
+
+
+class SimulatedTarget(Dispatcher):
+    """Answers after ``service_s`` with its current announcement.
+
+    ``arrivals`` holds the time and the attempt id of each request.
+    """
+
+    def __init__(self, *, service_s=0.02, slots=_SLOTS):
+        self.service_s = service_s
+        self.slots = slots
+        self.announcement = Announcement()
+        self.arrivals = []
+
+    async def send(self, call):
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals.append((now_s, call.head.attempt))
+        await asyncio.sleep(self.service_s)
+        return Reply(
+            head=AnswerHead(ending=Ending.ANSWERED),
+            response=Response(status=200, body=b'ok'),
+            announcement=self.announcement,
+        )
+
+    def most_arrivals_in(self, window_s, *, from_s=0, to_s=float('inf')):
+        """Return the largest number of arrivals in a sliding window."""
+        times = [at_s for at_s, _ in self.arrivals if from_s <= at_s < to_s]
+        return max(
+            (
+                sum(start_s <= at_s < start_s + window_s for at_s in times)
+                for start_s in times
+            ),
+            default=0,
+        )
+
+
+class _InMemoryClient:
+    """Hands requests to a node's peer handler while the node runs."""
+
+    def __init__(self, node):
+        self._node = node
+
+    async def exchange(self, request):
+        if not self._node.is_running:
+            raise NotSentError('the node is down')
+        return await self._node.peer_handler.answer(request, '10.0.0.1')
+
+    async def probe(self):
+        if not self._node.is_running:
+            raise NotSentError('the node is down')
+
+    def close(self):
+        """Do nothing: there is no connection."""
+
+
+class _InMemoryPeers(PeerNodes):
+    """Peers in the same process."""
+
+    def __init__(self, *, fleet, observer):
+        super().__init__(header_names=HEADER_NAMES, observer=observer)
+        self._fleet = fleet
+
+    def _client(self, node):
+        return _InMemoryClient(self._fleet.by_port[node.port])
+
+
+class SimulatedNode:
+    """A node and its target; ``start`` makes a process that knows nothing."""
+
+    def __init__(self, *, fleet, port, target):
+        self.port = port
+        self.target = target
+        self.observer = RecordingObserver()
+        self.is_running = False
+        self._fleet = fleet
+        self.start()
+
+    def start(self):
+        fleet = self._fleet
+        rng = seeded(seed=fleet.seed * 1000 + self.port)
+        local_target = LocalTarget(bounds=LeavingBounds(accept_s=DRAIN_S / 2))
+        local_target.receive_heartbeat(
+            Heartbeat(
+                instance=f'i-{self.port}',
+                started_ms=1,
+                sequence=1,
+                service=SERVICE,
+                slots=self.target.slots,
+            ),
+            asyncio.get_running_loop().time(),
+        )
+        routes = RoutesInForce(rng=rng)
+        routes.offer(Configuration(version=1, routes=fleet.routes))
+        runs = LocalRuns()
+        levels = LevelsByRoute()
+        gatekeeper = Gatekeeper(
+            target=local_target,
+            dispatcher=self.target,
+            observer=self.observer,
+            version=lambda: 1,
+            runs=runs,
+            levels=levels,
+        )
+        peers = _InMemoryPeers(fleet=fleet, observer=self.observer)
+        directory = TargetDirectory()
+        directory.apply_changes(target_documents(HERE, *fleet.ports))
+        selector = TargetSelector(
+            directory=directory,
+            routes=routes,
+            viewpoint=viewpoint_of(name=f'n{self.port}', place=HERE),
+            retry_budget=SharedBudgetSettings(),
+            reachability=Reachability(
+                probe=peers.probe, on_change=lambda node, reachable: None
+            ),
+            rng=rng,
+        )
+        self.peer_handler = PeerHandler(
+            gatekeeper=gatekeeper,
+            header_names=HEADER_NAMES,
+            on_routes_version=lambda version, peer: None,
+            updates_by_header={},
+        )
+        self._caller_handler = CallerHandler(
+            local_node=LocalNode(
+                peer_address=Address(host='10.0.0.1', port=self.port),
+                service=SERVICE,
+            ),
+            header_names=HEADER_NAMES,
+            routes=routes,
+            selector=selector,
+            gatekeeper=gatekeeper,
+            peers=peers,
+            observer=self.observer,
+            runs=runs,
+            levels=levels,
+            on_routes_version=lambda version, node: None,
+            on_outdated_entry=lambda: None,
+        )
+        self.gatekeeper = gatekeeper
+        self.is_running = True
+
+    def stop(self):
+        self.is_running = False
+
+    async def ask(self, attempt, *, route='normal', deadline_ms=2000):
+        """Return the answer to a caller's request."""
+        headers = (
+            ('host', 'h'),
+            ('attempt-id', attempt),
+            ('deadline-ms', str(deadline_ms)),
+        )
+        request = Request(
+            method='GET', target=f'/{route}/{attempt}', headers=headers
+        )
+        return await self._caller_handler.answer(request, '10.0.0.9')
+
+
+class SimulatedFleet:
+    """Nodes of one service and callers with Poisson arrivals."""
+
+    def __init__(self, *, nodes, seed=1, service_s=0.02, importances=None):
+        self.seed = seed
+        self.routes = tuple(
+            Route(
+                name=name,
+                host='h',
+                path_prefix=f'/{name}/',
+                services=(WeightedService(service=SERVICE),),
+                idempotent=True,
+                attempts=2,
+                timeout_s=5,
+                **({} if importance is None else {'importance': importance}),
+            )
+            for name, importance in (importances or {'normal': None}).items()
+        )
+        self.ports = tuple(range(1, nodes + 1))
+        self.by_port = {}
+        for port in self.ports:
+            target = SimulatedTarget(service_s=service_s)
+            self.by_port[port] = SimulatedNode(
+                fleet=self, port=port, target=target
+            )
+        self.nodes = list(self.by_port.values())
+        # Time of sending, node asked, attempt id, route and response.
+        self.answers = []
+        self._rng = seeded(seed=seed)
+
+    async def offer(self, *, rate_per_s, duration_s, routes=('normal',)):
+        """Send requests to running nodes and wait for all answers."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        numbers = itertools.count()
+        tasks = []
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+            running = [node for node in self.nodes if node.is_running]
+            node = self._rng.choice(running)
+            route = self._rng.choice(routes)
+            attempt = f'{loop.time():.4f}-{next(numbers)}'
+            tasks.append(asyncio.ensure_future(self._ask(node, attempt, route)))
+        await asyncio.gather(*tasks)
+
+    def served_fraction(self, route=None):
+        """Return the fraction of the requests on ``route`` that succeeded."""
+        statuses = [
+            response.status
+            for _, _, _, asked_route, response in self.answers
+            if route in {None, asked_route}
+        ]
+        return statuses.count(200) / len(statuses)
+
+    async def _ask(self, node, attempt, route):
+        sent_s = asyncio.get_running_loop().time()
+        response = await node.ask(attempt, route=route)
+        self.answers.append((sent_s, node.port, attempt, route, response))
