--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import math
 
 from fescueknot.httpio.errors import NotSentError
 from fescueknot.httpio.messages import Request, Response
@@ -56,7 +57,7 @@
             announcement=self.announcement,
         )
 
-    def most_arrivals_in(self, window_s, *, from_s=0, to_s=float('inf')):
+    def most_arrivals_in(self, window_s, *, from_s=0, to_s=math.inf):
         """Return the largest number of arrivals in a sliding window."""
         times = [at_s for at_s, _ in self.arrivals if from_s <= at_s < to_s]
         return max(
--- a/tests/relay/simulated_loop.py
+++ b/tests/relay/simulated_loop.py
@@ -7,7 +7,9 @@
 class _PollingSelector(selectors.SelectSelector):
     """Polls, and advances the clock of its loop by the time to wait."""
 
-    now_s = 0.0
+    def __init__(self):
+        super().__init__()
+        self.now_s = float(0)
 
     def select(self, timeout=None):
         self.now_s += max(0, timeout or 0)
--- a/tests/relay/test_announced_leaving.py
+++ b/tests/relay/test_announced_leaving.py
@@ -1,6 +1,7 @@
 """Targets that announce in their answers that they leave."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -18,19 +19,16 @@
     Too late is later than the drain bound after the node of the request had
     passed on an answer with the announcement.
     """
-    asked = {
-        attempt: (sent_s, port) for sent_s, port, attempt, *_ in fleet.answers
-    }
+    asked = {answer[2]: answer for answer in fleet.answers}
     told_s = {}
+    late = []
     for arrived_s, attempt in target.arrivals:
+        sent_s, port, *_ = asked[attempt]
+        if sent_s > told_s.get(port, math.inf) + DRAIN_S:
+            late.append(attempt)
         if arrived_s >= _ANNOUNCED_S:
-            _, port = asked[attempt]
             told_s.setdefault(port, arrived_s + target.service_s)
-    return [
-        attempt
-        for _, attempt in target.arrivals
-        if asked[attempt][0] > told_s.get(asked[attempt][1], 99) + DRAIN_S
-    ]
+    return late
 
 
 class TestAnswersOfALeavingTarget:
