Keep to the rate that a target announces

Cause: the gate beside a target, through which all its calls go, admitted by slots alone. A target that takes 11 requests a second at 120 ms fills one slot or two of its 36.

Change: the gate takes a token for each call that it sends; tokens come at the announced rate, with a burst of half a second. As all calls pass it, no node needs to know of others. The queue, the level and Retry-After work with the lower of the two capacities, and the load in replies is that of the slots which the rate keeps busy. Each reply carries the limit; callers' nodes remember it and send it with their calls, so that a gate that starts anew has it before it has heard its target. A limit of 0 still gets a request each 2 s, as only an answer can lift it.

--- a/fescueknot/admission/gate.py
+++ b/fescueknot/admission/gate.py
@@ -22,6 +22,7 @@
     queue_rank_of,
     rank_of_level,
 )
+from fescueknot.admission.rate_limit import RateLimit
 from fescueknot.admission.retry_after import RetryAfterSpread
 from fescueknot.admission.slots import TargetSlots
 
@@ -33,6 +34,7 @@
     ``cancel`` or ``expire``. Call ``expire`` after each ``Wait`` and about
     every 10 ms while requests wait. A ``work_conserving`` gate admits a
     request that the level would shed if a slot is free and no request waits.
+    ``rate`` is the rate limit of the target, if it may have one.
     """
 
     def __init__(
@@ -41,9 +43,12 @@
         limit: ConcurrencyLimit | None = None,
         levels: LevelController | None = None,
         line: WaitingQueue | None = None,
+        rate: RateLimit | None = None,
         work_conserving: bool = False,
     ) -> None:
-        self._slots = TargetSlots(limit=limit or AdaptiveLimit())
+        self._slots = TargetSlots(
+            limit=limit or AdaptiveLimit(), rate=rate or RateLimit()
+        )
         self._levels = levels or LevelController()
         self._queue = WaitingQueue() if line is None else line
         self._work_conserving = work_conserving
@@ -57,6 +62,7 @@
         """
         if request.ticket in self._slots or request.ticket in self._queue:
             raise DuplicateTicketError(request.ticket)
+        self._slots.rate.refill(now_s)
         self._update_level(now_s)
         rank = self._ranker.rank(request)
         self._levels.count_offer(rank)
@@ -89,6 +95,7 @@
 
     def expire(self, now_s: float) -> tuple[FinalDecision, ...]:
         """Refuse or admit waiting requests; return these decisions."""
+        self._slots.rate.refill(now_s)
         level_changed = self._update_level(now_s)
         if not self._queue:
             return ()
@@ -108,35 +115,47 @@
             importance=level.importance,
             bucket=level.bucket,
             limit=self._slots.limit(),
-            in_flight=len(self._slots),
+            in_flight=self._slots.occupied(),
             waiting=len(self._queue),
         )
 
     def typical_s(self) -> float:
         """Return the mean of recent service times, 0 while unknown."""
-        return self._slots.typical_s()
+        return self._slots.concurrency.typical_s()
+
+    def usable_slots(self) -> int:
+        """Return the concurrency limit, whatever the rate limit."""
+        return self._slots.concurrency.current()
+
+    def slot_time_s(self) -> float:
+        """Return how long a request keeps a slot of ``pressure``."""
+        return self._slots.slot_time_s()
 
     def _refusal_reason(
         self, request: AdmissionRequest, rank: float, now_s: float
     ) -> RefusalReason | None:
         shed = request.depth == 0 and rank > self._levels.root_level
-        if shed and not self._has_idle_slot():
+        may_use_idle = self._work_conserving and not self._queue
+        if shed and not (may_use_idle and self._slots.has_free()):
             return RefusalReason.LEVEL
         ahead = self._queue.ahead_of(queue_rank_of(rank, request.depth))
-        needed_s = self._slots.min_service_s()
+        needed_s = self._slots.concurrency.min_service_s()
         start_interval_s = self._slots.start_interval_s()
         if not self._slots.has_free():
             if ahead >= self._queue.capacity_for(start_interval_s, request):
-                return RefusalReason.QUEUE_FULL
+                return self._reason_of_queue(RefusalReason.QUEUE_FULL)
+            if self._slots.rate.wait_s(ahead) > request.max_wait_s:
+                return RefusalReason.RATE_LIMIT
             needed_s += (ahead + 1) * start_interval_s
         if now_s + needed_s > request.deadline_s:
             return RefusalReason.DEADLINE
         return None
 
-    def _has_idle_slot(self) -> bool:
-        """Return whether a shed request may use a slot that is idle."""
-        idle = self._slots.has_free() and not self._queue
-        return self._work_conserving and idle
+    def _reason_of_queue(self, reason: RefusalReason) -> RefusalReason:
+        """Return ``reason``, or the rate limit if that causes the queue."""
+        if self._slots.is_rate_bound():
+            return RefusalReason.RATE_LIMIT
+        return reason
 
     def _refuse_waiting(
         self, now_s: float, *, level_changed: bool
@@ -147,13 +166,15 @@
                 decisions.append(self._refuse(shed, RefusalReason.LEVEL))
         start_interval_s = self._slots.start_interval_s()
         for excess in self._queue.pop_excess(start_interval_s):
-            decisions.append(self._refuse(excess, RefusalReason.QUEUE_FULL))
+            full = self._reason_of_queue(RefusalReason.QUEUE_FULL)
+            decisions.append(self._refuse(excess, full))
         for expired in self._queue.pop_expired(now_s):
-            decisions.append(self._refuse(expired, RefusalReason.MAX_WAIT))
+            late = self._reason_of_queue(RefusalReason.MAX_WAIT)
+            decisions.append(self._refuse(expired, late))
         return decisions
 
     def _admit(self, request: AdmissionRequest, now_s: float) -> FinalDecision:
-        if now_s + self._slots.min_service_s() > request.deadline_s:
+        if now_s + self._slots.concurrency.min_service_s() > request.deadline_s:
             return self._refuse(request, RefusalReason.DEADLINE)
         self._slots.start(request.ticket, now_s)
         return Admit(ticket=request.ticket)
--- a/fescueknot/admission/messages.py
+++ b/fescueknot/admission/messages.py
@@ -14,6 +14,7 @@
     QUEUE_FULL = 'waiting line full'
     MAX_WAIT = 'waited too long'
     DEADLINE = 'deadline cannot be met'
+    RATE_LIMIT = 'rate limit of the target'
 
 
 class CompletionKind(enum.StrEnum):
--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -256,6 +256,9 @@
             started_ms=instance.incarnation,
             lineage=lineage,
             max_wait_ms=attempts.max_wait_ms(call, route, loop.time()),
+            rate_limit_per_s=self._selector.announcements.rate_limit_per_s(
+                instance
+            ),
         )
         addressed_call = msgspec.structs.replace(call, head=head)
         attempts.record_sent(instance)
--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -85,6 +85,8 @@
         if refused_for is not RefusedFor.NONE:
             return self._with_load(self._refuse(call, refused_for), call)
         queue = self._current_queue()
+        now_s = asyncio.get_running_loop().time()
+        self.announced.adopt(call.head.rate_limit_per_s, now_s)
         try:
             decision = await queue.admit(call)
         except asyncio.CancelledError:
@@ -138,7 +140,10 @@
         key = (current.instance, current.started_ms, current.slots)
         if key != self._queue_key:
             self._queue.close()
-            self._queue = SlotQueue(slots=current.slots)
+            self.announced.begin((current.instance, current.started_ms))
+            self._queue = SlotQueue(
+                slots=current.slots, rate=self.announced.rate
+            )
             self._queue_key = key
         return self._queue
 
@@ -157,7 +162,7 @@
 
     def _log_limit_change(self) -> None:
         """Log a change of the number of usable slots."""
-        limit = self._queue.pressure().limit
+        limit = self._queue.usable_slots()
         if limit != self._logged_limit:
             self._logged_limit = limit
             service_ms = int(self._queue.typical_s() * _MS_PER_S)
@@ -201,9 +206,9 @@
             failed_below = self._runs.end(run_id)
         self._note_sent(call, reply, began_s)
         if reply.announcement is not None:
-            self.announced.record(
-                call.head.instance, call.head.started_ms, reply.announcement
-            )
+            start = (call.head.instance, call.head.started_ms)
+            now_s = asyncio.get_running_loop().time()
+            self.announced.record(start, reply.announcement, now_s)
         if reply.head.refused_for is RefusedFor.OTHER_TARGET:
             self._target.remove_mismatched(call.head.instance)
         head = msgspec.structs.replace(reply.head, failed_below=failed_below)
@@ -238,7 +243,8 @@
             limit=pressure.limit,
             in_flight=pressure.in_flight,
             waiting=pressure.waiting,
-            service_ms=int(self._queue.typical_s() * _MS_PER_S),
+            service_ms=int(self._queue.slot_time_s() * _MS_PER_S),
+            rate_limit_per_s=self.announced.limit_for_peers,
             level_rank=min(local_rank, downstream_rank),
             version=self._version(),
         )
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -32,6 +32,7 @@
         'max_wait_ms': 'p',
         'caller_service': 'c',
         'version': 'v',
+        'rate_limit_per_s': 'q',
     },
 ):
     """Metadata of a call, sent by the caller's node.
@@ -40,7 +41,8 @@
     ``remaining_ms`` is the time to the deadline when the call is sent,
     ``max_wait_ms`` its maximum wait for a slot of the target, ``lineage`` the
     root request that it belongs to, ``version`` the version of the routes in
-    force at the sender.
+    force at the sender, ``rate_limit_per_s`` the limit that the target has
+    announced to the sender.
     """
 
     attempt: str = ''
@@ -53,6 +55,7 @@
     max_wait_ms: int
     caller_service: str
     version: int = 0
+    rate_limit_per_s: float | None = None
 
 
 class Ending(enum.StrEnum):
@@ -99,6 +102,7 @@
         'level_rank': 'k',
         'version': 'v',
         'failed_below': 'b',
+        'rate_limit_per_s': 'q',
     },
 ):
     """Result of a call and load of its target, sent by the target's node.
@@ -106,7 +110,8 @@
     ``level_rank`` is the highest rank with which calls of this route are
     admitted (see ``fescueknot.admission.rank``), at this target and at the
     targets that it calls. ``failed_below``: a call that the target made for
-    this call has failed.
+    this call has failed. ``rate_limit_per_s`` is the limit that the target
+    has announced, ``None`` without one.
     """
 
     ending: Ending = Ending.ANSWERED
@@ -120,6 +125,7 @@
     level_rank: float = float(len(Importance))
     version: int = 0
     failed_below: bool = False
+    rate_limit_per_s: float | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
--- a/fescueknot/relay/slot_queue.py
+++ b/fescueknot/relay/slot_queue.py
@@ -15,6 +15,7 @@
     RefusalReason,
     Refuse,
 )
+from fescueknot.admission.rate_limit import RateLimit
 from fescueknot.relay.messages import Call
 from fescueknot.relay.slot_limit import SlotLimit
 
@@ -36,10 +37,11 @@
 class SlotQueue:
     """Admission to one start of a target, for an event loop."""
 
-    def __init__(self, *, slots: int) -> None:
+    def __init__(self, *, slots: int, rate: RateLimit | None = None) -> None:
         self._gate = AdmissionGate(
             limit=SlotLimit(slots=slots),
             levels=LevelController(settings=SLOT_LEVELS),
+            rate=rate,
             work_conserving=True,
         )
         self._waiting: dict[str, asyncio.Future[FinalDecision]] = {}
@@ -90,6 +92,14 @@
         """Return the mean recent service time, 0 while unknown."""
         return self._gate.typical_s()
 
+    def usable_slots(self) -> int:
+        """Return the slots in use at full load, whatever the rate limit."""
+        return self._gate.usable_slots()
+
+    def slot_time_s(self) -> float:
+        """Return how long a call keeps a slot of ``pressure``."""
+        return self._gate.slot_time_s()
+
     def _cancel(
         self, ticket: str, waiter: asyncio.Future[FinalDecision]
     ) -> None:
--- a/fescueknot/relay/target_selector.py
+++ b/fescueknot/relay/target_selector.py
@@ -9,6 +9,7 @@
 from fescueknot.identity import Address, InstanceId, Place
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
 from fescueknot.relay.reachability import Reachability
+from fescueknot.relay.remembered_announcements import RememberedAnnouncements
 from fescueknot.relay.runs import Lineage
 from fescueknot.retries.shared_budget import (
     SharedBudget,
@@ -116,6 +117,7 @@
         self._rng = rng
         self._pickers: dict[str, TargetPicker] = {}
         self._budgets: dict[str, SharedBudget] = {}
+        self.announcements = RememberedAnnouncements()
 
     def refresh(self, services: set[str], now_s: float) -> None:
         """Apply the directory's entries of ``services`` to their pickers."""
@@ -179,6 +181,8 @@
         node = self._directory.address_of(instance)
         if node and reply and _reports_unreachable_node(reply):
             self._reachability.mark_unreachable(node)
+        if reply is not None:
+            self.announcements.record(instance, reply.head)
         call_result = CallResult(
             kind=kind,
             latency_s=latency_s,
--- a/tests/relay/test_announcement.py
+++ b/tests/relay/test_announcement.py
@@ -1,5 +1,7 @@
 """What a target announces in the headers of its answers."""
 
+import math
+
 import pytest
 
 from fescueknot.httpio.messages import Response
@@ -8,9 +10,16 @@
 from fescueknot.relay.header_names import HeaderNames
 from tests.relay.fakes import RecordingObserver
 
+START = ('i-1', 1)
 LIMITED = Announcement(rate_limit_per_s=11.2)
 
 
+def _state(observer=None):
+    state = AnnouncedState(observer=observer or RecordingObserver())
+    state.begin(START)
+    return state
+
+
 def _read(**headers):
     pairs = tuple(
         (name.replace('_', '-'), value) for name, value in headers.items()
@@ -37,19 +46,61 @@
 
 
 class TestState:
-    """The last announcement of a start."""
+    """The announcements of a start."""
 
     def test_a_change_is_logged_once(self):
         observer = RecordingObserver()
-        state = AnnouncedState(observer=observer)
+        state = _state(observer)
         for announcement in (Announcement(), LIMITED, LIMITED, Announcement()):
-            state.record('i-1', 1, announcement)
+            state.record(START, announcement, 0)
         limits = [details['rate_limit_per_s'] for _, details in observer.events]
         assert limits == [11.2, None]
 
     def test_the_limit_is_that_of_the_last_answer(self):
-        state = AnnouncedState(observer=RecordingObserver())
-        state.record('i-1', 1, LIMITED)
+        state = _state()
+        state.record(START, LIMITED, 0)
         assert state.rate_limit_per_s == 11.2
-        state.record('i-1', 1, Announcement())
-        assert state.rate_limit_per_s == float('inf')
+        state.record(START, Announcement(), 0)
+        assert state.rate_limit_per_s == math.inf
+        assert not state.rate.is_limited
+
+    def test_an_unreadable_limit_changes_nothing(self):
+        state = _state()
+        state.record(START, LIMITED, 0)
+        state.record(START, Announcement(unreadable_limit='many'), 0)
+        assert state.rate_limit_per_s == 11.2
+
+    def test_an_answer_of_an_earlier_start_changes_nothing(self):
+        state = _state()
+        state.begin(('i-1', 2))
+        state.record(START, LIMITED, 0)
+        assert state.rate_limit_per_s == math.inf
+
+    def test_another_start_has_no_limit(self):
+        state = _state()
+        state.record(START, LIMITED, 0)
+        state.begin(('i-1', 2))
+        assert state.rate_limit_per_s == math.inf
+
+
+class TestAdoption:
+    """Limits told by callers' nodes."""
+
+    def test_it_is_in_force_until_the_first_answer(self):
+        state = _state()
+        state.adopt(3, 0)
+        assert state.rate_limit_per_s == 3
+        state.record(START, Announcement(), 0)
+        assert state.rate_limit_per_s == math.inf
+
+    def test_it_is_ignored_after_the_first_answer(self):
+        state = _state()
+        state.record(START, LIMITED, 0)
+        state.adopt(3, 0)
+        assert state.rate_limit_per_s == 11.2
+
+    def test_a_caller_without_a_limit_ends_none(self):
+        state = _state()
+        state.adopt(3, 0)
+        state.adopt(None, 0)
+        assert state.rate_limit_per_s == 3
