Send nothing later to a target whose answers say that it leaves

Cause, the same as of the announced limit: headers of answers that tell of the target's state were not read. Leaving was known from heartbeats and the store alone, so that a target which said it in its answers first, or in the outage of the store, went on to get requests, and a node that starts anew in the outage forgot what only heartbeats had told.

Change: the gate takes the announcement of an answer for the begin of the leaving and has it written to the store; each reply says whether the called start leaves, from whatever source; a caller's node that has received such a reply never picks that start again, whatever the directory says later. The first draining heartbeat after an announcement is still a change, so that its acknowledgement waits for the store as before.

--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -12,13 +12,15 @@
     CompletionKind,
     Refuse,
 )
-from fescueknot.admission.rank import OPEN_RANK, rank_of_level
+from fescueknot.admission.rank import rank_of_level
 from fescueknot.relay.announced_state import AnnouncedState
+from fescueknot.relay.announcement import Announcement
 from fescueknot.relay.dispatch import Dispatcher
-from fescueknot.relay.levels_by_route import LevelsByRoute
+from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.messages import (
     AnswerHead,
     Call,
+    CallHead,
     Ending,
     RefusedFor,
     Reply,
@@ -55,6 +57,8 @@
     """Decides whether and when a call is sent to the target.
 
     A call that is cancelled while it waits for a slot is never sent.
+    ``on_target_leaving`` is called when the first answer says that the target
+    leaves.
     """
 
     def __init__(
@@ -63,16 +67,16 @@
         target: LocalTarget,
         dispatcher: Dispatcher,
         observer: Observer,
-        version: Callable[[], int],
         runs: LocalRuns,
-        levels: LevelsByRoute,
+        load_reporter: LoadReporter,
+        on_target_leaving: Callable[[], None],
     ) -> None:
         self._target = target
         self._dispatcher = dispatcher
         self._observer = observer
-        self._version = version
         self._runs = runs
-        self._levels = levels
+        self._load_reporter = load_reporter
+        self._on_target_leaving = on_target_leaving
         self._queue = SlotQueue(slots=1)
         self._queue_key: tuple[str, int, int] | None = None
         self._logged_limit = 0
@@ -206,14 +210,23 @@
             failed_below = self._runs.end(run_id)
         self._note_sent(call, reply, began_s)
         if reply.announcement is not None:
-            start = (call.head.instance, call.head.started_ms)
-            now_s = asyncio.get_running_loop().time()
-            self.announced.record(start, reply.announcement, now_s)
+            self._record_announcement(call.head, reply.announcement)
         if reply.head.refused_for is RefusedFor.OTHER_TARGET:
             self._target.remove_mismatched(call.head.instance)
         head = msgspec.structs.replace(reply.head, failed_below=failed_below)
         return Reply(head=head, response=reply.response)
 
+    def _record_announcement(
+        self, head: CallHead, announcement: Announcement
+    ) -> None:
+        start = (head.instance, head.started_ms)
+        now_s = asyncio.get_running_loop().time()
+        self.announced.record(start, announcement, now_s)
+        if announcement.is_leaving and self._target.receive_leaving_answer(
+            *start, now_s
+        ):
+            self._on_target_leaving()
+
     def _note_sent(self, call: Call, reply: Reply, began_s: float) -> None:
         duration_s = asyncio.get_running_loop().time() - began_s
         self._note(
@@ -226,29 +239,18 @@
         )
 
     def _with_load(self, reply: Reply, call: Call) -> Reply:
-        """Add the load and the admission level of the route to a reply."""
-        now_s = asyncio.get_running_loop().time()
-        pressure = self._queue.pressure()
-        downstream_rank = self._levels.lowest_rank(
-            self._runs.downstream_routes(call.head.route), now_s
-        )
-        # Callers' nodes refuse root requests early by the levels in replies.
-        # The level of this target is left out for root requests: whether it
-        # admits them is decided here.
-        local_rank = (
-            rank_of_level(pressure) if call.head.lineage.depth else OPEN_RANK
+        """Add the state of the target and its admission level to a reply."""
+        is_leaving = self._target.is_leaving(
+            call.head.instance, call.head.started_ms
         )
         head = msgspec.structs.replace(
             reply.head,
-            limit=pressure.limit,
-            in_flight=pressure.in_flight,
-            waiting=pressure.waiting,
-            service_ms=int(self._queue.slot_time_s() * _MS_PER_S),
+            is_leaving=is_leaving,
             rate_limit_per_s=self.announced.limit_for_peers,
-            level_rank=min(local_rank, downstream_rank),
-            version=self._version(),
         )
-        return Reply(head=head, response=reply.response)
+        return self._load_reporter.add_load(
+            Reply(head=head, response=reply.response), call, self._queue
+        )
 
     def _refuse(
         self,
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -103,6 +103,7 @@
         'version': 'v',
         'failed_below': 'b',
         'rate_limit_per_s': 'q',
+        'is_leaving': 'g',
     },
 ):
     """Result of a call and load of its target, sent by the target's node.
@@ -111,7 +112,8 @@
     admitted (see ``fescueknot.admission.rank``), at this target and at the
     targets that it calls. ``failed_below``: a call that the target made for
     this call has failed. ``rate_limit_per_s`` is the limit that the target
-    has announced, ``None`` without one.
+    has announced, ``None`` without one. ``is_leaving``: the target that was
+    called leaves.
     """
 
     ending: Ending = Ending.ANSWERED
@@ -126,6 +128,7 @@
     version: int = 0
     failed_below: bool = False
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -17,6 +17,7 @@
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.graceful_stop import GracefulStop
 from fescueknot.relay.levels_by_route import LevelsByRoute
+from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.metrics import MetricsHandler, NodeMetrics
 from fescueknot.relay.observer import LogObserver
 from fescueknot.relay.peers import PeerHandler, PeerNodes
@@ -74,9 +75,13 @@
             target=self._target,
             dispatcher=self._dispatcher,
             observer=self._observer,
-            version=lambda: self._routes.version,
             runs=self._runs,
-            levels=self._levels,
+            load_reporter=LoadReporter(
+                version=lambda: self._routes.version,
+                runs=self._runs,
+                levels=self._levels,
+            ),
+            on_target_leaving=self._target_leaving,
         )
         self._peers = PeerNodes(
             header_names=adapter.header_names, observer=self._observer
@@ -242,6 +247,9 @@
         await self._registrar.start(listed=listed, after_outage=after_outage)
         await self._fleet_sync.run()
 
+    def _target_leaving(self) -> None:
+        self._registrar.publish()
+
     def _local_entry_changed(self, entry: TargetEntry | None) -> None:
         self._registrar.entry_changed(entry)
 
--- a/fescueknot/relay/target_registrar.py
+++ b/fescueknot/relay/target_registrar.py
@@ -108,6 +108,27 @@
         """Record the store's entry; write it again if it is not as wanted."""
         self._publisher.set_observed(entry)
 
+    def publish(self) -> None:
+        """Have the entry of the local target written as it is now."""
+        now_s = asyncio.get_running_loop().time()
+        current = self._target.current
+        state = _STATE_BY_AVAILABILITY.get(self._target.availability(now_s))
+        if current is None or state is None:
+            self._publisher.set_desired(None)
+            return
+        self._publisher.set_desired(
+            TargetEntry(
+                instance=current.instance,
+                started_ms=current.started_ms,
+                service=current.service,
+                place=self._place,
+                node=self._peer_address,
+                slots=current.slots,
+                state=state,
+                gossip_port=self._gossip_port,
+            )
+        )
+
     def _remove_entry_without_target(self) -> None:
         """Remove the entry from the store if no target is known by now."""
         if self._target.current is None:
@@ -160,7 +181,7 @@
         )
         if change is HeartbeatEffect.STALE:
             return
-        self._publish()
+        self.publish()
         if announcement.state is TargetState.DRAINING:
             await self._publisher.wait_reconciled(_LEAVE_WRITE_TIMEOUT_S)
 
@@ -170,25 +191,5 @@
         current = self._target.receive_leave(instance, now_s, wall_ms)
         self._observer.note('target.left', instance=instance, current=current)
         if current or self._target.current is None:
-            self._publish()
+            self.publish()
             await self._publisher.wait_reconciled(_LEAVE_WRITE_TIMEOUT_S)
-
-    def _publish(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        current = self._target.current
-        state = _STATE_BY_AVAILABILITY.get(self._target.availability(now_s))
-        if current is None or state is None:
-            self._publisher.set_desired(None)
-            return
-        self._publisher.set_desired(
-            TargetEntry(
-                instance=current.instance,
-                started_ms=current.started_ms,
-                service=current.service,
-                place=self._place,
-                node=self._peer_address,
-                slots=current.slots,
-                state=state,
-                gossip_port=self._gossip_port,
-            )
-        )
--- a/fescueknot/relay/target_selector.py
+++ b/fescueknot/relay/target_selector.py
@@ -181,8 +181,8 @@
         node = self._directory.address_of(instance)
         if node and reply and _reports_unreachable_node(reply):
             self._reachability.mark_unreachable(node)
-        if reply is not None:
-            self.announcements.record(instance, reply.head)
+        if reply and self.announcements.record(instance, reply.head):
+            self._update(service, now_s)
         call_result = CallResult(
             kind=kind,
             latency_s=latency_s,
@@ -220,8 +220,13 @@
             )
             self._pickers[service] = picker
         limit = self._routes.service(service).connection_limit
+        candidates = self._directory.candidates(service, limit, now_s)
         picker.update(
-            self._directory.candidates(service, limit, now_s),
+            tuple(
+                candidate
+                for candidate in candidates
+                if not self.announcements.is_leaving(candidate.instance)
+            ),
             callers=len(self._directory),
         )
 
--- a/fescueknot/targets/local_target.py
+++ b/fescueknot/targets/local_target.py
@@ -98,6 +98,28 @@
             self._leaving_since_s = now_s
         return True
 
+    def receive_leaving_answer(
+        self, instance: str, started_ms: int, now_s: float
+    ) -> bool:
+        """Record that an answer of a start said that the target leaves.
+
+        Returns whether this was not known before of the current start.
+        """
+        current = self._current
+        if current is None or self._leaving_since_s is not None:
+            return False
+        if (instance, started_ms) != (current.instance, current.started_ms):
+            return False
+        self._leaving_since_s = now_s
+        return True
+
+    def is_leaving(self, instance: str, started_ms: int) -> bool:
+        """Return whether this is the current start and it leaves."""
+        current = self._current
+        if current is None or self._leaving_since_s is None:
+            return False
+        return (instance, started_ms) == (current.instance, current.started_ms)
+
     def remove_mismatched(self, instance: str) -> bool:
         """Remove the target if its address turned out to be another one's.
 
@@ -133,14 +155,16 @@
         self, heartbeat: Heartbeat, current: Heartbeat, now_s: float
     ) -> HeartbeatEffect:
         self._current = heartbeat
-        if heartbeat.state is TargetState.DRAINING:
-            if self._leaving_since_s is not None:
-                return HeartbeatEffect.NOTHING
+        is_draining = heartbeat.state is TargetState.DRAINING
+        if is_draining and self._leaving_since_s is None:
             self._leaving_since_s = now_s
             return HeartbeatEffect.CHANGED
-        if (
-            heartbeat.slots == current.slots
-            and heartbeat.service == current.service
-        ):
+        if _described(heartbeat) == _described(current):
             return HeartbeatEffect.NOTHING
         return HeartbeatEffect.CHANGED
+
+
+def _described(heartbeat: Heartbeat) -> tuple[str, int, bool]:
+    """Return what a heartbeat says that other nodes need to know."""
+    is_draining = heartbeat.state is TargetState.DRAINING
+    return (heartbeat.service, heartbeat.slots, is_draining)
--- a/tests/relay/test_target_registrar.py
+++ b/tests/relay/test_target_registrar.py
@@ -171,6 +171,16 @@
 
         assert run(scenario) is TargetState.DRAINING
 
+    def test_a_leave_that_only_answers_tell_is_published_as_draining(self):
+        async def scenario():
+            harness = _Harness()
+            await harness.start()
+            harness.target.receive_leaving_answer('i-1', 1, 0)
+            harness.registrar.publish()
+            return harness.publisher.wanted[-1].state
+
+        assert run(scenario) is TargetState.DRAINING
+
     def test_the_leave_of_a_draining_target_changes_nothing(self):
         draining = msgspec.structs.replace(_ENTRY, state=TargetState.DRAINING)
 
--- a/tests/targets/test_local_target.py
+++ b/tests/targets/test_local_target.py
@@ -84,6 +84,41 @@
         assert target.availability(_ACCEPT_S) is Availability.LEFT
 
 
+class TestLeavingAnswers:
+    """Answers of the target which say that it leaves."""
+
+    def test_the_bound_runs_from_the_first_such_answer(self):
+        target = _target()
+        target.receive_heartbeat(_heartbeat(), 0)
+        assert target.receive_leaving_answer('i-1', 1000, 5)
+        assert not target.receive_leaving_answer('i-1', 1000, 5.5)
+        assert target.availability(5) is Availability.LEAVING
+        assert target.availability(5 + _ACCEPT_S) is Availability.LEFT
+
+    def test_an_answer_of_an_earlier_start_changes_nothing(self):
+        target = _target()
+        target.receive_heartbeat(_heartbeat(started_ms=2000), 0)
+        assert not target.receive_leaving_answer('i-1', 1000, 5)
+        assert not target.is_leaving('i-1', 2000)
+
+    def test_a_serving_heartbeat_does_not_end_it(self):
+        target = _target()
+        target.receive_heartbeat(_heartbeat(sequence=1), 0)
+        target.receive_leaving_answer('i-1', 1000, 1)
+        target.receive_heartbeat(_heartbeat(sequence=2), 1.5)
+        assert target.availability(1 + _ACCEPT_S) is Availability.LEFT
+
+    def test_the_draining_heartbeat_after_it_is_still_a_change(self):
+        """Its acknowledgement has to wait for the store."""
+        target = _target()
+        target.receive_heartbeat(_heartbeat(sequence=1), 0)
+        target.receive_leaving_answer('i-1', 1000, 1)
+        draining = _draining_heartbeat(sequence=2)
+        assert (
+            target.receive_heartbeat(draining, 1.5) is HeartbeatEffect.CHANGED
+        )
+
+
 class TestLeaving:
     """Draining, leaving and the bound for late arrivals."""
 
