Show announced limits, and what they turned away, in fleet

Operators could see a limit in each node's metrics alone, and refusals by it mixed with those by the level. A refusal that only the rate causes has that reason whatever refused it; fleet lists the targets that announce a limit or that they leave, with the calls refused by it and those that wait.

--- a/fescueknot/admission/gate.py
+++ b/fescueknot/admission/gate.py
@@ -137,7 +137,7 @@
         shed = request.depth == 0 and rank > self._levels.root_level
         may_use_idle = self._work_conserving and not self._queue
         if shed and not (may_use_idle and self._slots.has_free()):
-            return RefusalReason.LEVEL
+            return self._reason_of_queue(RefusalReason.LEVEL)
         ahead = self._queue.ahead_of(queue_rank_of(rank, request.depth))
         needed_s = self._slots.concurrency.min_service_s()
         start_interval_s = self._slots.start_interval_s()
@@ -163,7 +163,8 @@
         decisions: list[FinalDecision] = []
         if level_changed:
             for shed in self._queue.pop_shed(self._levels.root_level):
-                decisions.append(self._refuse(shed, RefusalReason.LEVEL))
+                level = self._reason_of_queue(RefusalReason.LEVEL)
+                decisions.append(self._refuse(shed, level))
         start_interval_s = self._slots.start_interval_s()
         for excess in self._queue.pop_excess(start_interval_s):
             full = self._reason_of_queue(RefusalReason.QUEUE_FULL)
--- a/fescueknot/cli/fleet.py
+++ b/fescueknot/cli/fleet.py
@@ -34,8 +34,9 @@
     description = (
         'Prints the nodes by the version of the routes in force, the ages of '
         'the oldest evidence about routes, calls to the store by reason, '
-        'slots by service and failure domain, and calls by service with '
-        'percentiles over all nodes. NODE is the IP:PORT of a metrics port, '
+        'slots by service and failure domain, targets that announce a rate '
+        'limit or that they leave, and calls by service with percentiles over '
+        'all nodes. NODE is the IP:PORT of a metrics port, '
         'or a file with its response. Fails if the metrics of a node are '
         'missing; the output then covers the remaining nodes.'
     )
@@ -91,6 +92,7 @@
         'belief_ages_s': dict(figures.evidence_ages()),
         'store_calls': figures.store_calls(),
         'targets': figures.targets(),
+        'announcing_targets': figures.announcing_targets(),
         'services': figures.services(),
         'no_figures': failures,
     }
@@ -115,7 +117,12 @@
     yield _titled_list(
         'store calls', [f'{reason}={count}' for reason, count in calls]
     )
-    for rows in (figures.targets(), figures.services()):
+    tables = (
+        figures.targets(),
+        figures.announcing_targets(),
+        figures.services(),
+    )
+    for rows in filter(None, tables):
         yield ''
         yield from render.table_lines(
             [msgspec.to_builtins(row) for row in rows]
--- a/fescueknot/telemetry/fleet_figures.py
+++ b/fescueknot/telemetry/fleet_figures.py
@@ -16,6 +16,10 @@
 _NODE_INFO_METRIC = 'node_info'
 _RULES_VERSION_METRIC = 'rules_version'
 _EVIDENCE_AGE_METRIC = 'routes_evidence_age_s'
+_RATE_LIMIT_METRIC = 'target_rate_limit_per_s'
+_LEAVING_METRIC = 'target_leaving'
+_GATE_REFUSED_EVENT = 'gate.refused'
+_RATE_LIMIT_DETAIL = 'rate limit of the target'
 _CALL_ENDED_EVENT = 'call.ended'
 _STORE_CALL_EVENT = 'store.call'
 _REFUSAL_STATUS = '503'
@@ -49,6 +53,22 @@
     waiting: int
 
 
+class AnnouncingTargetFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that announces a rate limit or that it leaves.
+
+    ``limit_per_s`` is ``None`` without a limit, ``refused`` counts the calls
+    that its node has refused by a limit since the node started.
+    """
+
+    node: str
+    service: str
+    failure_domain: str
+    limit_per_s: float | None
+    refused: int
+    waiting: int
+    leaving: bool
+
+
 class _NodeSamples(msgspec.Struct, frozen=True, kw_only=True):
     """Samples of one node, by metric name without the prefix."""
 
@@ -59,6 +79,23 @@
         samples = self.samples.get(name)
         return samples[0].value if samples else 0
 
+    def rate_limit_per_s(self) -> float | None:
+        """Return the limit that the target announces, ``None`` without one."""
+        samples = self.samples.get(_RATE_LIMIT_METRIC)
+        if not samples or math.isinf(samples[0].value):
+            return None
+        return samples[0].value
+
+    def refused_by_rate_limit(self) -> int:
+        """Return the number of calls refused by an announced limit."""
+        return int(
+            sum(
+                sample.value
+                for sample in self.event_counters(_GATE_REFUSED_EVENT)
+                if sample.labels.get('detail') == _RATE_LIMIT_DETAIL
+            )
+        )
+
     def event_counters(self, event: str) -> Iterator[Sample]:
         """Yield the samples of the event counter for ``event``."""
         for sample in self.samples.get(_EVENTS_METRIC, ()):
@@ -136,6 +173,26 @@
             for (service, domain), group in sorted(groups.items())
         )
 
+    def announcing_targets(self) -> tuple[AnnouncingTargetFigures, ...]:
+        """Return the targets that announce a limit or that they leave."""
+        figures = (
+            AnnouncingTargetFigures(
+                node=node,
+                service=node_samples.info_label('service'),
+                failure_domain=node_samples.info_label('failure_domain'),
+                limit_per_s=node_samples.rate_limit_per_s(),
+                refused=node_samples.refused_by_rate_limit(),
+                waiting=int(node_samples.gauge('waiting')),
+                leaving=bool(node_samples.gauge(_LEAVING_METRIC)),
+            )
+            for node, node_samples in sorted(self._samples_by_node.items())
+        )
+        return tuple(
+            target
+            for target in figures
+            if target.leaving or target.limit_per_s is not None
+        )
+
     def services(self) -> tuple[ServiceFigures, ...]:
         """Return call counts and latency percentiles by service."""
         counts_by_service: dict[str, collections.Counter[str]] = {}
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -49,6 +49,17 @@
         assert 'store calls: start=2' in output
         assert 'entries  sierra-a        2      12     4       0' in output
         assert 'maps     2       0        0       5       5' in output
+        assert 'limit_per_s' not in output
+
+    def test_text_lists_targets_that_announce_a_limit(self, tmp_path, capsys):
+        path = tmp_path / 'node-a.txt'
+        limit = 'fescueknot_target_rate_limit_per_s 11.2\n'
+        path.write_text(_metrics() + limit)
+        assert _run(str(path)) == 0
+        lines = capsys.readouterr().out.splitlines()
+        header = next(line for line in lines if 'limit_per_s' in line)
+        row = lines[lines.index(header) + 1].split()
+        assert row[1:4] == ['entries', 'sierra-a', '11.2']
 
     def test_json_has_versions_and_services(self, files, capsys):
         assert _run('--json', *files) == 0
--- a/tests/telemetry/test_fleet_figures.py
+++ b/tests/telemetry/test_fleet_figures.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescueknot.admission.messages import RefusalReason
 from fescueknot.telemetry.errors import UnreadableMetricsError
 from fescueknot.telemetry.fleet_figures import FleetFigures, ServiceFigures
 
@@ -128,3 +129,31 @@
         with pytest.raises(UnreadableMetricsError):
             figures.add('b', text)
         assert figures.versions() == {3: ('a',)}
+
+
+class TestAnnouncingTargets:
+    """Targets that announce a rate limit or that they leave."""
+
+    def _refusals(self, detail, count):
+        labels = f'event="gate.refused",reason="full",detail="{detail}"'
+        return f'fescueknot_events_total{{{labels}}} {count}\n'
+
+    def test_limit_and_refusals_of_a_limited_target(self):
+        limited = _metrics(target_rate_limit_per_s=11.2)
+        limited += self._refusals(RefusalReason.RATE_LIMIT, 7)
+        limited += self._refusals(RefusalReason.QUEUE_FULL, 5)
+        unlimited = _metrics(target_rate_limit_per_s='+Inf')
+        found = _figures(a=limited, b=unlimited, c=_metrics())
+        (target,) = found.announcing_targets()
+        assert (target.node, target.limit_per_s) == ('a', 11.2)
+        assert (target.refused, target.leaving) == (7, False)
+
+    def test_a_limit_of_zero_is_a_limit(self):
+        found = _figures(a=_metrics(target_rate_limit_per_s=0))
+        assert found.announcing_targets()[0].limit_per_s == 0
+
+    def test_a_leaving_target_without_a_limit_is_listed(self):
+        found = _figures(a=_metrics(target_leaving=1))
+        (target,) = found.announcing_targets()
+        assert target.leaving
+        assert target.limit_per_s is None
