Split the caller's handler, the process and the client by duty

Sending an attempt and recording its reply (attempt_sender), the settings of parts (part_settings) and the options of sockets (tcp_options) are modules of their own. No change of behaviour.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -1,7 +1,6 @@
 """HTTP client with persistent connections, without pipelining."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import msgspec
@@ -15,10 +14,10 @@
     MalformedError,
     ResponseParser,
 )
+from fescueknot.httpio.tcp_options import set_tcp_timeouts
 from fescueknot.identity import Address
 
 _KEEP_ALIVE_HEADER = 'keep-alive'
-_MS_PER_S = 1000
 
 
 class ClientSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -282,26 +281,3 @@
 def _accept_any(response: Response) -> bool:
     """Accept every response."""
     return True
-
-
-def set_tcp_timeouts(
-    sock: socket.socket, unacknowledged_timeout_s: float
-) -> None:
-    """Let the operating system close a connection to an unresponsive peer.
-
-    Idle connections are probed with TCP keep-alive. Sent bytes and probes may
-    stay unacknowledged for ``unacknowledged_timeout_s``.
-    """
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(unacknowledged_timeout_s * _MS_PER_S),
-        ),
-    )
-    for level, name, setting in options:
-        sock.setsockopt(level, name, setting)
--- /dev/null
+++ b/fescueknot/httpio/tcp_options.py
@@ -0,0 +1,28 @@
+"""Options of TCP sockets that end connections to unresponsive peers."""
+
+import socket
+
+_MS_PER_S = 1000
+
+
+def set_tcp_timeouts(
+    sock: socket.socket, unacknowledged_timeout_s: float
+) -> None:
+    """Let the operating system close a connection to an unresponsive peer.
+
+    Idle connections are probed with TCP keep-alive. Sent bytes and probes may
+    stay unacknowledged for ``unacknowledged_timeout_s``.
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(unacknowledged_timeout_s * _MS_PER_S),
+        ),
+    )
+    for level, name, setting in options:
+        sock.setsockopt(level, name, setting)
--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -1,16 +1,12 @@
 """Handler of callers' requests: finds the route and tries targets."""
 
 import asyncio
-from collections.abc import Callable
-
-import msgspec
 
 from fescueknot.calls import Importance
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
-from fescueknot.identity import Address
+from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.call_log import CallLog
-from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.header_names import HeaderNames
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.messages import (
@@ -18,14 +14,12 @@
     Call,
     CallHead,
     Ending,
-    RefusedFor,
     Reply,
 )
 from fescueknot.relay.observer import Observer
-from fescueknot.relay.peers import PeerNodes
 from fescueknot.relay.request_attempts import RequestAttempts, not_run_response
 from fescueknot.relay.runs import Lineage, LocalRuns
-from fescueknot.relay.target_selector import Destination, TargetSelector
+from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.retries.shared_budget import MAX_URGENCY
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Route
@@ -37,53 +31,34 @@
 # Callers honour a Retry-After of up to a third of their remaining time.
 _RETRY_AFTER_TIME_DIVISOR = 3
 _NO_ROUTES_RETRY_AFTER_S = 0.5
-# Refusals which show that an entry of the target directory is out of date.
-_OUTDATED_ENTRY_REFUSALS = frozenset(
-    (RefusedFor.OTHER_TARGET, RefusedFor.NO_TARGET)
-)
-
-
-class LocalNode(msgspec.Struct, frozen=True, kw_only=True):
-    """Peer address of this node and service of the target on its host."""
-
-    peer_address: Address
-    service: str
 
 
 class CallerHandler(Handler):
     """Answers root requests and the calls of the target on this host.
 
-    ``on_routes_version`` receives the version of the routes at a node that
-    has replied. ``on_outdated_entry`` is called when a refusal shows that an
-    entry of the target directory is out of date.
+    ``service`` is that of the target.
     """
 
     def __init__(
         self,
         *,
-        local_node: LocalNode,
+        service: str,
         header_names: HeaderNames,
         routes: RoutesInForce,
         selector: TargetSelector,
-        gatekeeper: Gatekeeper,
-        peers: PeerNodes,
+        sender: AttemptSender,
         observer: Observer,
         runs: LocalRuns,
         levels: LevelsByRoute,
-        on_routes_version: Callable[[int, Address], None],
-        on_outdated_entry: Callable[[], None],
     ) -> None:
-        self._local_node = local_node
+        self._service = service
         self._header_names = header_names
         self._routes = routes
         self._selector = selector
-        self._gatekeeper = gatekeeper
-        self._peers = peers
+        self._sender = sender
         self._log = CallLog(observer=observer)
         self._runs = runs
         self._levels = levels
-        self._on_routes_version = on_routes_version
-        self._on_outdated_entry = on_outdated_entry
         self.refuses_root_requests = False
 
     def limits(self) -> Limits:
@@ -205,7 +180,7 @@
             lineage=lineage,
             remaining_ms=0,
             max_wait_ms=0,
-            caller_service=self._local_node.service,
+            caller_service=self._service,
             version=self._routes.version,
         )
 
@@ -229,63 +204,13 @@
             )
             if destination is None:
                 break
-            reply = await self._send_attempt(
+            reply = await self._sender.send(
                 call, service, route, destination, attempts
             )
             if not self._should_try_next(reply, call, service, route, attempts):
                 break
         return attempts.final_response()
 
-    async def _send_attempt(
-        self,
-        call: Call,
-        service: str,
-        route: Route,
-        destination: Destination,
-        attempts: RequestAttempts,
-    ) -> Reply:
-        loop = asyncio.get_running_loop()
-        instance = destination.instance
-        lineage = msgspec.structs.replace(
-            call.head.lineage,
-            repeat=call.head.lineage.repeat or attempts.at_target > 0,
-        )
-        head = msgspec.structs.replace(
-            call.head,
-            instance=instance.name,
-            started_ms=instance.incarnation,
-            lineage=lineage,
-            max_wait_ms=attempts.max_wait_ms(call, route, loop.time()),
-            rate_limit_per_s=self._selector.announcements.rate_limit_per_s(
-                instance
-            ),
-        )
-        addressed_call = msgspec.structs.replace(call, head=head)
-        attempts.record_sent(instance)
-        began_s = loop.time()
-        self._selector.started(service, instance, began_s)
-        reply = None
-        try:
-            reply = await self._send(addressed_call, destination.node)
-        finally:
-            now_s = loop.time()
-            self._selector.finished(
-                service, instance, reply, now_s - began_s, now_s
-            )
-        self._levels.record(
-            route.name, instance.name, reply.head.level_rank, now_s
-        )
-        self._on_routes_version(reply.head.version, destination.node)
-        if reply.head.refused_for in _OUTDATED_ENTRY_REFUSALS:
-            self._on_outdated_entry()
-        self._log.replied(addressed_call, service, reply, now_s - began_s)
-        return reply
-
-    async def _send(self, call: Call, node: Address) -> Reply:
-        if node == self._local_node.peer_address:
-            return await self._gatekeeper.submit(call)
-        return await self._peers.send(call, node)
-
     def _should_try_next(
         self,
         reply: Reply,
--- /dev/null
+++ b/fescueknot/relay/part_settings.py
@@ -0,0 +1,30 @@
+"""Settings of a node's parts, from the settings of the node."""
+
+from fescueknot.relay.settings import RelaySettings, parse_address
+from fescueknot.retries.shared_budget import SharedBudgetSettings
+from fescueknot.targets.local_target import LeavingBounds
+
+# A leaving target accepts late arrivals for this fraction of its drain bound.
+_LATE_ARRIVALS_FRACTION = 0.5
+
+
+def leaving_bounds(settings: RelaySettings) -> LeavingBounds:
+    """Return the bounds of the leaving of the local target."""
+    return LeavingBounds(
+        accept_s=settings.bounds.drain_s * _LATE_ARRIVALS_FRACTION
+    )
+
+
+def gossip_port_of(settings: RelaySettings) -> int:
+    """Return the port for gossip, 0 if the node does not gossip."""
+    if not settings.ports.gossip:
+        return 0
+    return parse_address(settings.ports.gossip).port
+
+
+def retry_budget(settings: RelaySettings) -> SharedBudgetSettings:
+    """Return the bounds on the retries of the fleet."""
+    return SharedBudgetSettings(
+        ratio=settings.bounds.retry_ratio,
+        slack=settings.bounds.retry_slack,
+    )
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -10,7 +10,8 @@
 from fescueknot.identity import Address
 from fescueknot.randomness import unseeded
 from fescueknot.relay.adapter import Adapter
-from fescueknot.relay.caller_handler import CallerHandler, LocalNode
+from fescueknot.relay.attempt_sender import AttemptSender
+from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.dispatch import HttpDispatcher
 from fescueknot.relay.endpoints import HeartbeatHandler, ReadyHandler
 from fescueknot.relay.fleet_sync import FleetSync
@@ -20,21 +21,24 @@
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.metrics import MetricsHandler, NodeMetrics
 from fescueknot.relay.observer import LogObserver
+from fescueknot.relay.part_settings import (
+    gossip_port_of,
+    leaving_bounds,
+    retry_budget,
+)
 from fescueknot.relay.peers import PeerHandler, PeerNodes
 from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
 from fescueknot.relay.settings import (
-    RelaySettings,
     RelaySettingsError,
     SettingsFile,
     parse_address,
 )
 from fescueknot.relay.target_registrar import TargetRegistrar
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
-from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory
-from fescueknot.targets.local_target import LeavingBounds, LocalTarget
+from fescueknot.targets.local_target import LocalTarget
 from fescueknot.targets.messages import TargetEntry
 from fescueknot.telemetry.decision_log import DecisionLog, LineBuffer
 
@@ -43,8 +47,6 @@
 _FINAL_FLUSHES = 5
 _FINAL_FLUSH_INTERVAL_S = 0.02
 _HOUSEKEEPING_INTERVAL_S = 0.25
-# A leaving target accepts late arrivals for this fraction of its drain bound.
-_LATE_ARRIVALS_FRACTION = 0.5
 
 
 class NodeProcess:
@@ -64,7 +66,7 @@
         rng = unseeded()
         self._routes = RoutesInForce(rng=rng)
         self._directory = TargetDirectory()
-        self._target = LocalTarget(bounds=_leaving_bounds(settings))
+        self._target = LocalTarget(bounds=leaving_bounds(settings))
         self._dispatcher = HttpDispatcher(
             address=parse_address(settings.target),
             header_names=adapter.header_names,
@@ -90,7 +92,7 @@
             directory=self._directory,
             routes=self._routes,
             viewpoint=viewpoint_of(name=settings.node, place=settings.place),
-            retry_budget=_retry_budget(settings),
+            retry_budget=retry_budget(settings),
             reachability=Reachability(
                 probe=self._peers.probe, on_change=self._node_changed
             ),
@@ -112,7 +114,7 @@
             node=settings.node,
             place=settings.place,
             peer_address=parse_address(settings.ports.peers),
-            gossip_port=_gossip_port(settings),
+            gossip_port=gossip_port_of(settings),
             target_address=settings.target,
             target=self._target,
             adapter=adapter,
@@ -121,20 +123,23 @@
             observer=self._observer,
         )
         caller_handler = CallerHandler(
-            local_node=LocalNode(
-                peer_address=parse_address(settings.ports.peers),
-                service=settings.service,
-            ),
+            service=settings.service,
             header_names=adapter.header_names,
             routes=self._routes,
             selector=self._selector,
-            gatekeeper=self._gatekeeper,
-            peers=self._peers,
+            sender=AttemptSender(
+                local_address=parse_address(settings.ports.peers),
+                selector=self._selector,
+                gatekeeper=self._gatekeeper,
+                peers=self._peers,
+                levels=self._levels,
+                observer=self._observer,
+                on_routes_version=self._fleet_sync.record_version,
+                on_outdated_entry=self._fleet_sync.query_peers,
+            ),
             observer=self._observer,
             runs=self._runs,
             levels=self._levels,
-            on_routes_version=self._fleet_sync.record_version,
-            on_outdated_entry=self._fleet_sync.query_peers,
         )
         peer_handler = PeerHandler(
             gatekeeper=self._gatekeeper,
@@ -269,7 +274,7 @@
         )
         if changed_settings is not None:
             self._settings = changed_settings
-            self._target.bounds = _leaving_bounds(changed_settings)
+            self._target.bounds = leaving_bounds(changed_settings)
 
     def _report_fault(self, error: BaseException) -> None:
         self._observer.note('node.fault', error=repr(error))
@@ -288,22 +293,3 @@
             self._log.flush()
             if self._source.is_modified():
                 self._reload()
-
-
-def _leaving_bounds(settings: RelaySettings) -> LeavingBounds:
-    return LeavingBounds(
-        accept_s=settings.bounds.drain_s * _LATE_ARRIVALS_FRACTION
-    )
-
-
-def _gossip_port(settings: RelaySettings) -> int:
-    if not settings.ports.gossip:
-        return 0
-    return parse_address(settings.ports.gossip).port
-
-
-def _retry_budget(settings: RelaySettings) -> SharedBudgetSettings:
-    return SharedBudgetSettings(
-        ratio=settings.bounds.retry_ratio,
-        slack=settings.bounds.retry_slack,
-    )
--- a/tests/relay/caller_handlers.py
+++ b/tests/relay/caller_handlers.py
@@ -5,7 +5,8 @@
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address, Place
 from fescueknot.randomness import seeded
-from fescueknot.relay import caller_handler
+from fescueknot.relay.attempt_sender import AttemptSender
+from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.header_names import HeaderNames
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.messages import (
@@ -91,22 +92,28 @@
         rng=rng,
     )
     selector.refresh({'entries'}, 0)
-    return caller_handler.CallerHandler(
-        local_node=caller_handler.LocalNode(
-            peer_address=Address(host='10.9.9.9', port=1), service='desk'
-        ),
+    shared_observer = observer or RecordingObserver()
+    levels = LevelsByRoute()
+    return CallerHandler(
+        service='desk',
         header_names=HEADER_NAMES,
         routes=routes,
         selector=selector,
-        gatekeeper=None,
-        peers=peers,
-        observer=observer or RecordingObserver(),
-        runs=LocalRuns(),
-        levels=LevelsByRoute(),
-        on_routes_version=lambda version, node: None,
-        on_outdated_entry=lambda: peers.outdated_reports.append(
-            len(peers.calls)
+        sender=AttemptSender(
+            local_address=Address(host='10.9.9.9', port=1),
+            selector=selector,
+            gatekeeper=None,
+            peers=peers,
+            levels=levels,
+            observer=shared_observer,
+            on_routes_version=lambda version, node: None,
+            on_outdated_entry=lambda: peers.outdated_reports.append(
+                len(peers.calls)
+            ),
         ),
+        observer=shared_observer,
+        runs=LocalRuns(),
+        levels=levels,
     )
 
 
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -12,7 +12,8 @@
 from fescueknot.identity import Address
 from fescueknot.randomness import seeded
 from fescueknot.relay.announcement import Announcement
-from fescueknot.relay.caller_handler import CallerHandler, LocalNode
+from fescueknot.relay.attempt_sender import AttemptSender
+from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
@@ -165,20 +166,23 @@
             updates_by_header={},
         )
         self._caller_handler = CallerHandler(
-            local_node=LocalNode(
-                peer_address=Address(host='10.0.0.1', port=self.port),
-                service=SERVICE,
-            ),
+            service=SERVICE,
             header_names=HEADER_NAMES,
             routes=routes,
             selector=selector,
-            gatekeeper=gatekeeper,
-            peers=peers,
+            sender=AttemptSender(
+                local_address=Address(host='10.0.0.1', port=self.port),
+                selector=selector,
+                gatekeeper=gatekeeper,
+                peers=peers,
+                levels=levels,
+                observer=self.observer,
+                on_routes_version=lambda version, node: None,
+                on_outdated_entry=lambda: None,
+            ),
             observer=self.observer,
             runs=runs,
             levels=levels,
-            on_routes_version=lambda version, node: None,
-            on_outdated_entry=lambda: None,
         )
         self.gatekeeper = gatekeeper
         self.is_running = True
