Play announced limits and leavings in the soak

Two faults: a target names a limit in its answers for 6 to 9 s; a target says in its answers, in no heartbeat, that it leaves. The checks bind a node from the answer that it passed on, until it is killed, stopped or paused.

--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -49,7 +49,9 @@
             ),
             body=b'{}',
         )
-        self._promises.sent(attempt, idempotent=idempotent)
+        self._promises.sent(
+            attempt, idempotent=idempotent, node=self._node.name
+        )
         try:
             response = await asyncio.wait_for(
                 self._client.exchange(request), _PATIENCE_MS / 1000
@@ -62,7 +64,8 @@
                 idempotent=idempotent,
                 status=response.status,
                 body=response.body,
-                signed=response.header(HEADERS.signature) is not None,
+                instance=response.header(HEADERS.signature) or '',
+                leaving=response.header(HEADERS.leaving) is not None,
             )
         )
         return response.status
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,8 @@
 
 _RESTART_S = 0.5
 _SHORT_S = (0.3, 2.5)
+_LIMITED_S = (6.0, 9.0)
+_LIMITS_PER_S = (0, 2.5, 8)
 Fault = Callable[[World, int], Awaitable[None]]
 
 
@@ -18,6 +20,7 @@
     while node.is_running:
         await asyncio.sleep(0.05)
     await asyncio.sleep(_RESTART_S)
+    world.excuse(node)
     node.start()
 
 
@@ -45,9 +48,11 @@
 async def pause(world: World, index: int) -> None:
     """Stop a node for a while without its knowledge."""
     node = world.nodes[index]
+    world.excuse(node)
     node.send(signal.SIGSTOP)
     await asyncio.sleep(world.rng.uniform(*_SHORT_S))
     node.send(signal.SIGCONT)
+    world.excuse(node)
 
 
 async def reload(world: World, index: int) -> None:
@@ -112,6 +117,24 @@
         target.renew()
 
 
+async def limit(world: World, index: int) -> None:
+    """Let a target announce a rate limit for a while."""
+    target = world.targets[index]
+    instance = target.instance
+    target.announce_limit(world.rng.choice(_LIMITS_PER_S))
+    await asyncio.sleep(world.rng.uniform(*_LIMITED_S))
+    if target.instance == instance:
+        target.announce_limit(None)
+
+
+async def leave_by_answers(world: World, index: int) -> None:
+    """Let a target leave that says so in its answers alone."""
+    target = world.targets[index]
+    target.announce_leaving()
+    await asyncio.sleep(DRAIN_S + world.rng.uniform(*_SHORT_S))
+    target.renew()
+
+
 FAULTS: tuple[Fault, ...] = (
     kill,
     stop,
@@ -125,4 +148,6 @@
     reset_target_link,
     lose_answers,
     release,
+    limit,
+    leave_by_answers,
 )
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -5,35 +5,54 @@
 
 import msgspec
 
+from tools.soak.announcements import AnnouncementChecks, Origin
+
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
 
 class Told(msgspec.Struct, frozen=True, kw_only=True):
-    """An answer as the caller saw it."""
+    """An answer as the caller saw it.
+
+    ``instance`` is the target that signed it, empty without a signature.
+    """
 
     attempt: str
     idempotent: bool
     status: int
     body: bytes
-    signed: bool
+    instance: str = ''
+    leaving: bool = False
 
 
 class Promises:
     """Collects what was seen; ``broken`` holds a line a breach."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, drain_s: float) -> None:
+        self.announcements = AnnouncementChecks(drain_s=drain_s)
         self.broken: list[str] = []
         self.served = 0
         self.answered = 0
         self._runs: collections.Counter[str] = collections.Counter()
         self._told: dict[str, Told] = {}
         self._at_most_once: set[str] = set()
+        self._origins: dict[str, Origin] = {}
 
-    def sent(self, attempt: str, *, idempotent: bool) -> None:
+    def sent(self, attempt: str, *, idempotent: bool, node: str) -> None:
         """Take note of a request before it is sent."""
+        now_s = asyncio.get_running_loop().time()
+        self._origins[attempt] = Origin(node=node, sent_s=now_s)
         if not idempotent:
             self._at_most_once.add(attempt)
 
+    def arrived(self, attempt: str, instance: str) -> None:
+        """Take note of a request that reaches a target."""
+        now_s = asyncio.get_running_loop().time()
+        breach = self.announcements.breach(
+            self._origins[attempt], instance, now_s
+        )
+        if breach:
+            self._break(f'{attempt}: {breach}')
+
     def ran(
         self, attempt: str, *, caller: str, wanted: str, left_for_s: float
     ) -> None:
@@ -53,11 +72,18 @@
         """Take note of an answer."""
         self.answered += 1
         self._told[told.attempt] = told
+        if told.instance:
+            self.announcements.passed_on(
+                self._origins[told.attempt].node,
+                told.instance,
+                leaving=told.leaving,
+                now_s=asyncio.get_running_loop().time(),
+            )
         if told.status in range(200, 300):
             self.served += 1
             if told.body != told.attempt.encode():
                 self._break(f'{told.attempt} got the answer of another')
-            if not told.signed:
+            if not told.instance:
                 self._break(f'{told.attempt} got an answer no target made')
         if told.status in _NOT_RUN:
             self._check_not_run(told)
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -9,7 +9,7 @@
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.errors import HttpIoError
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.messages import Limits, Request, Response
+from fescueknot.httpio.messages import Headers, Limits, Request, Response
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
 from fescueknot.platform.headers import PLATFORM_HEADERS as HEADERS
@@ -43,6 +43,8 @@
         self._started_ms = 0
         self._state = 'ready'
         self._left_s: float | None = None
+        self._rate_limit_per_s: float | None = None
+        self._announces_leaving = False
         self._node: Client | None = None
         self.renew()
 
@@ -53,6 +55,18 @@
         self._sequence = 0
         self._state = 'ready'
         self._left_s = None
+        self._rate_limit_per_s = None
+        self._announces_leaving = False
+
+    def announce_limit(self, rate_per_s: float | None) -> None:
+        """Name a limit in all answers from now on; ``None`` for none."""
+        self._rate_limit_per_s = rate_per_s
+        now_s = asyncio.get_running_loop().time()
+        self._promises.announcements.limit(self.instance, rate_per_s, now_s)
+
+    def announce_leaving(self) -> None:
+        """Say in all answers, but in no heartbeat, that the target leaves."""
+        self._announces_leaving = True
 
     def limits(self) -> Limits:
         """Return wide limits."""
@@ -89,15 +103,28 @@
         if request.header(HEADERS.expected_instance) != self.instance:
             headers = (echo, (HEADERS.instance, self.instance))
             return Response(status=421, headers=headers)
+        instance = self.instance
+        self._promises.arrived(attempt, instance)
         self._note(request, attempt)
         await asyncio.sleep(self._rng.uniform(0, 2 * _WORK_S))
         if self._rng.random() < self.lose_answers:
             return None
-        signed = (HEADERS.signature, 'signed')
+        signed = (HEADERS.signature, instance)
         return Response(
-            status=200, headers=(echo, signed), body=attempt.encode()
+            status=200,
+            headers=(echo, signed, *self._announcements()),
+            body=attempt.encode(),
         )
 
+    def _announcements(self) -> Headers:
+        announced = []
+        if self._rate_limit_per_s is not None:
+            limit = str(self._rate_limit_per_s)
+            announced.append((HEADERS.rate_limit, limit))
+        if self._announces_leaving or self._state == 'draining':
+            announced.append((HEADERS.leaving, '1'))
+        return tuple(announced)
+
     def _note(self, request: Request, attempt: str) -> None:
         left_for_s = -1.0
         if self._left_s is not None:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -35,7 +35,7 @@
 
     def __init__(self, *, folder: pathlib.Path, seed: int) -> None:
         self.rng = random.Random(seed)  # noqa: S311
-        self.promises = Promises()
+        self.promises = Promises(drain_s=DRAIN_S)
         self.store = PlatformStoreStandin()
         self.store.stale_s = _STALE_S
         self.nodes: list[SoakNode] = []
@@ -73,6 +73,10 @@
                 )
                 self._tasks.append(asyncio.ensure_future(caller.run()))
 
+    def excuse(self, node: SoakNode) -> None:
+        """Forget what a node was told; it was killed, stopped or paused."""
+        self.promises.announcements.excuse(node.name)
+
     def change_configuration(self) -> None:
         """Write a new version."""
         self._version += 1
