Weigh the level of a target by the slots that it reports

A target that announces a low limit sheds most calls, and its level counted as much as that of a target with 36 free slots, so that entry nodes refused root requests which the others would have served. The mean over the targets of a route is weighted by their reported slots; one slot of 36 hardly lowers it (tests/relay/test_levels_by_route.py).

--- a/fescueknot/relay/attempt_sender.py
+++ b/fescueknot/relay/attempt_sender.py
@@ -89,7 +89,11 @@
                 service, instance, reply, now_s - began_s, now_s
             )
         self._levels.record(
-            route.name, instance.name, reply.head.level_rank, now_s
+            route.name,
+            instance.name,
+            reply.head.level_rank,
+            now_s,
+            slots=reply.head.limit,
         )
         self._on_routes_version(reply.head.version, destination.node)
         if reply.head.refused_for in _OUTDATED_ENTRY_REFUSALS:
--- a/tests/relay/test_levels_by_route.py
+++ b/tests/relay/test_levels_by_route.py
@@ -46,6 +46,12 @@
         levels.record('r', 'i-2', 2.0, 0)
         assert levels.mean_rank('r', 0.5) == 1.5
 
+    def test_a_target_with_few_slots_counts_little(self):
+        levels = LevelsByRoute()
+        levels.record('r', 'limited', 1.0, 0, slots=1)
+        levels.record('r', 'unlimited', OPEN_RANK, 0, slots=35)
+        assert levels.mean_rank('r', 0.5) > OPEN_RANK - 0.1
+
     def test_lowest_level_of_several_routes(self):
         levels = LevelsByRoute()
         levels.record('a', 'i-1', 1.0, 0)
