--- a/fescueknot/cli/render.py
+++ b/fescueknot/cli/render.py
@@ -63,6 +63,20 @@
     return ','.join(map(_cell, values))
 
 
+def _none_cell(_: None) -> str:
+    return '-'
+
+
+def _bool_cell(is_true: bool) -> str:
+    return 'yes' if is_true else 'no'
+
+
 _CELL_FORMATTERS = types.MappingProxyType(
-    {float: _float_cell, dict: _dict_cell, list: _list_cell}
+    {
+        float: _float_cell,
+        dict: _dict_cell,
+        list: _list_cell,
+        bool: _bool_cell,
+        type(None): _none_cell,
+    }
 )
--- a/tests/relay/test_announcement.py
+++ b/tests/relay/test_announcement.py
@@ -2,18 +2,38 @@
 
 import math
 
+import msgspec
 import pytest
 
+from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Response
 from fescueknot.relay.announced_state import AnnouncedState
 from fescueknot.relay.announcement import Announcement, read_announcement
 from fescueknot.relay.header_names import HeaderNames
+from fescueknot.relay.messages import AnswerHead, CallHead
+from fescueknot.relay.runs import Lineage
 from tests.relay.fakes import RecordingObserver
 
 START = ('i-1', 1)
 LIMITED = Announcement(rate_limit_per_s=11.2)
 
 
+def _head(head_type):
+    required = {
+        CallHead: {
+            'instance': 'i-1',
+            'started_ms': 1,
+            'idempotent': True,
+            'route': 'r',
+            'lineage': Lineage(root='x', importance=Importance.LOW),
+            'remaining_ms': 5,
+            'max_wait_ms': 1,
+            'caller_service': 'desk',
+        }
+    }
+    return head_type(**required.get(head_type, {}))
+
+
 def _state(observer=None):
     state = AnnouncedState(observer=observer or RecordingObserver())
     state.begin(START)
@@ -104,3 +124,19 @@
         state.adopt(3, 0)
         state.adopt(None, 0)
         assert state.rate_limit_per_s == 3
+
+
+class TestMixedVersions:
+    """Heads between nodes with and without the fields of announcements."""
+
+    @pytest.mark.parametrize('head_type', [CallHead, AnswerHead])
+    def test_unknown_fields_are_ignored(self, head_type):
+        known = msgspec.json.encode(_head(head_type))
+        fields = {**msgspec.json.decode(known), 'later': 1}
+        encoded = msgspec.json.encode(fields)
+        assert msgspec.json.decode(encoded, type=head_type) == _head(head_type)
+
+    @pytest.mark.parametrize('head_type', [CallHead, AnswerHead])
+    def test_a_head_without_a_limit_has_no_field_for_it(self, head_type):
+        fields = msgspec.json.decode(msgspec.json.encode(_head(head_type)))
+        assert 'q' not in fields
