--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address, Place
@@ -44,6 +45,19 @@
         self.local_entries = []
         self.tasks = []
 
+    async def _listen(self, handler):
+        """Listen at a TCP port whose UDP port is free too, for gossip."""
+        while True:
+            server = Server(handler=handler, report_error=lambda error: None)
+            await server.listen('127.0.0.1', 0)
+            with socket.socket(type=socket.SOCK_DGRAM) as probe:
+                try:
+                    probe.bind(('127.0.0.1', server.port))
+                except OSError:
+                    server.stop_listening()
+                    continue
+            return server
+
     async def start(self):
         self.peers = PeerNodes(
             header_names=_ADAPTER.header_names, observer=self.observer
@@ -54,8 +68,7 @@
             on_routes_version=lambda version, host: None,
             updates_by_header={},
         )
-        self.server = Server(handler=handler, report_error=lambda error: None)
-        await self.server.listen('127.0.0.1', 0)
+        self.server = await self._listen(handler)
         self.address = Address(host='127.0.0.1', port=self.server.port)
         node_address = str(self.address)
         settings = RelaySettings(
