Tell a caller the limit of the start that it called only

A refusal because another start is at the address carried the limit of that other one, and the caller's node remembered it for the start that is gone (found by reading; tests/relay/test_gatekeeper.py::TestRateLimit).

--- a/fescueknot/relay/announced_state.py
+++ b/fescueknot/relay/announced_state.py
@@ -25,11 +25,6 @@
         """Return the announced limit, infinite without one."""
         return math.inf if self._limit_per_s is None else self._limit_per_s
 
-    @property
-    def limit_for_peers(self) -> float | None:
-        """Return the announced limit, ``None`` without one."""
-        return self._limit_per_s
-
     @property
     def is_leaving(self) -> bool:
         """Return whether the target has announced that it leaves."""
@@ -61,6 +56,10 @@
         if not announcement.unreadable_limit:
             self._set_limit(announcement.rate_limit_per_s, now_s)
 
+    def limit_of(self, start: tuple[str, int]) -> float | None:
+        """Return the limit of a start, ``None`` for any but the current."""
+        return self._limit_per_s if start == self._start else None
+
     def adopt(self, limit_per_s: float | None, now_s: float) -> None:
         """Take over the limit of a caller's node until the first answer."""
         if limit_per_s is None or self._has_answered:
--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -240,13 +240,11 @@
 
     def _with_load(self, reply: Reply, call: Call) -> Reply:
         """Add the state of the target and its admission level to a reply."""
-        is_leaving = self._target.is_leaving(
-            call.head.instance, call.head.started_ms
-        )
+        start = (call.head.instance, call.head.started_ms)
         head = msgspec.structs.replace(
             reply.head,
-            is_leaving=is_leaving,
-            rate_limit_per_s=self.announced.limit_for_peers,
+            is_leaving=self._target.is_leaving(*start),
+            rate_limit_per_s=self.announced.limit_of(start),
         )
         return self._load_reporter.add_load(
             Reply(head=head, response=reply.response), call, self._queue
--- a/fescueknot/targets/local_target.py
+++ b/fescueknot/targets/local_target.py
@@ -159,12 +159,12 @@
         if is_draining and self._leaving_since_s is None:
             self._leaving_since_s = now_s
             return HeartbeatEffect.CHANGED
-        if _described(heartbeat) == _described(current):
+        if _published_fields(heartbeat) == _published_fields(current):
             return HeartbeatEffect.NOTHING
         return HeartbeatEffect.CHANGED
 
 
-def _described(heartbeat: Heartbeat) -> tuple[str, int, bool]:
+def _published_fields(heartbeat: Heartbeat) -> tuple[str, int, bool]:
     """Return what a heartbeat says that other nodes need to know."""
     is_draining = heartbeat.state is TargetState.DRAINING
     return (heartbeat.service, heartbeat.slots, is_draining)
--- a/tests/relay/test_gatekeeper.py
+++ b/tests/relay/test_gatekeeper.py
@@ -167,6 +167,42 @@
         assert run(scenario) == (RefusedFor.LEAVING, ['a'])
 
 
+class TestRateLimit:
+    """Answers that announce a rate limit."""
+
+    def _reply(self):
+        return msgspec.structs.replace(
+            ANSWERED, announcement=Announcement(rate_limit_per_s=5)
+        )
+
+    def test_replies_tell_the_limit_of_the_called_start_only(self):
+        async def scenario():
+            setup = GatekeeperSetup(reply=self._reply())
+            setup.dispatcher.release.set()
+            replies = [
+                await setup.gatekeeper.submit(make_call('a')),
+                await setup.gatekeeper.submit(make_call('b', started_ms=9)),
+            ]
+            return [reply.head.rate_limit_per_s for reply in replies]
+
+        assert run(scenario) == [5, None]
+
+    def test_a_refusal_by_the_limit_tells_it(self):
+        async def scenario():
+            setup = GatekeeperSetup(reply=self._reply())
+            setup.dispatcher.release.set()
+            await setup.gatekeeper.submit(make_call('a'))
+            reply = await setup.gatekeeper.submit(make_call('b', max_wait_ms=0))
+            head = reply.head
+            return head.refused_for, head.detail, head.rate_limit_per_s
+
+        assert run(scenario) == (
+            RefusedFor.OVERLOAD,
+            'rate limit of the target',
+            5,
+        )
+
+
 class TestCancellation:
     """Calls cancelled while they wait or run."""
 
