--- a/tests/relay/test_announced_leaving.py
+++ b/tests/relay/test_announced_leaving.py
@@ -38,8 +38,7 @@
 class TestAnswersOfALeavingTarget:
     """Requests after an answer said that the target leaves."""
 
-    # Guards against docs/incidents/announced-limit.md: only heartbeats and the
-    # store told that a target leaves; the header of its answers was not read.
+    # Guards against work for a target whose answers alone say that it leaves.
     @pytest.mark.parametrize('restarts', [0, 1, 3])
     def test_a_node_that_passed_it_on_sends_no_later_requests(self, restarts):
         async def scenario(seed):
--- a/tests/relay/test_announced_limit.py
+++ b/tests/relay/test_announced_limit.py
@@ -32,8 +32,7 @@
 class TestSumOverCallers:
     """Requests of all callers' nodes together."""
 
-    # Guards against docs/incidents/announced-limit.md: gates admitted by slots
-    # alone, and a target with free slots got several times its announced rate.
+    # Guards against a target with free slots that gets more than its limit.
     @pytest.mark.parametrize(
         ('nodes', 'rate_per_s'), [(6, 0), (6, 0.4), (6, 10), (6, 40), (24, 10)]
     )
@@ -51,7 +50,7 @@
         most = max(run_simulated(scenario, seed) for seed in _SEEDS)
         assert most <= _bound(rate_per_s)
 
-    # As above, for a node that starts anew and has heard nothing.
+    # Guards against a limit that is lost with the process beside the target.
     @pytest.mark.parametrize('kills', [1, 3])
     def test_the_limit_outlives_the_process_beside_the_target(self, kills):
         async def scenario(seed):
@@ -76,9 +75,7 @@
 class TestRoomElsewhere:
     """Limited targets while targets without a limit have room."""
 
-    # Guards against docs/incidents/announced-limit.md: with most targets
-    # limited, callers' nodes asked several that had no token left, gave up,
-    # and callers were refused although other targets stood idle.
+    # Guards against callers refused by limited targets while others are idle.
     @pytest.mark.parametrize(
         ('nodes', 'limited', 'rate_per_s', 'offered_per_s'),
         [(6, 4, 10, 150), (24, 16, 5, 240), (60, 54, 2, 200)],
