--- a/fescueknot/admission/rate_limit.py
+++ b/fescueknot/admission/rate_limit.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-# Tolerance of the sums of refills.
+# Refills are sums of rounded numbers.
 _WHOLE_TOKEN = 1 - 1e-9
 
 
