Log crashes of a target with the fingerprints of its calls

A gate could not tell a crash from a lost answer, and no line named what a request asks for. After a lost answer the gate now tries to connect: a target that refuses has crashed, and target.crashed names the fingerprints (method, host, path, caller's service, body) of all calls that were in progress or had just been broken off. No decision follows from it yet.

--- /dev/null
+++ b/fescueknot/relay/crash_watch.py
@@ -0,0 +1,78 @@
+"""Finds out that the target on this host has crashed, and under which calls.
+
+When a target crashes, the connections of all calls in progress end without an
+answer and it accepts no connection. A target that lost one answer, or whose
+connections were reset, still accepts connections.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable
+
+from fescueknot.relay.messages import Call
+
+# A call that was broken off may still run at the target for this time.
+_BROKEN_OFF_RUN_S = 2.0
+_MAX_BROKEN_OFF = 256
+
+
+class CrashWatch:
+    """Keeps the calls at the target, and checks it when answers are lost.
+
+    ``probe`` returns whether the target accepts connections. ``on_crash`` is
+    called with the calls that were at the target when it crashed.
+    """
+
+    def __init__(
+        self,
+        *,
+        probe: Callable[[], Awaitable[bool]],
+        on_crash: Callable[[tuple[Call, ...]], None],
+    ) -> None:
+        self._probe = probe
+        self._on_crash = on_crash
+        self._running: dict[str, Call] = {}
+        self._broken_off: collections.deque[tuple[float, Call]] = (
+            collections.deque(maxlen=_MAX_BROKEN_OFF)
+        )
+        self._check: asyncio.Task[bool] | None = None
+
+    def begin(self, call: Call) -> None:
+        """Record that a call is sent to the target."""
+        self._running[call.head.attempt] = call
+
+    def end(self, call: Call) -> None:
+        """Record that a call has ended at the target."""
+        self._running.pop(call.head.attempt, None)
+
+    def break_off(self, call: Call) -> None:
+        """Record that a call was given up; the target may still run it."""
+        self.end(call)
+        now_s = asyncio.get_running_loop().time()
+        self._broken_off.append((now_s, call))
+
+    async def has_crashed(self) -> bool:
+        """Return whether the target has crashed, after an answer was lost.
+
+        Calls that lose their answers meanwhile share one check.
+        """
+        if self._check is None:
+            self._check = asyncio.ensure_future(self._run_check())
+        return await asyncio.shield(self._check)
+
+    async def _run_check(self) -> bool:
+        try:
+            accepts_connections = await self._probe()
+        finally:
+            self._check = None
+        if not accepts_connections:
+            self._on_crash(self._calls_at_target())
+            self._broken_off.clear()
+        return not accepts_connections
+
+    def _calls_at_target(self) -> tuple[Call, ...]:
+        oldest_s = asyncio.get_running_loop().time() - _BROKEN_OFF_RUN_S
+        broken_off = (
+            call for ended_s, call in self._broken_off if ended_s >= oldest_s
+        )
+        return (*self._running.values(), *broken_off)
--- a/fescueknot/relay/dispatch.py
+++ b/fescueknot/relay/dispatch.py
@@ -48,6 +48,10 @@
     async def send(self, call: Call) -> Reply:
         """Send a call once; if cancelled, close the connection."""
 
+    @abc.abstractmethod
+    async def probe(self) -> bool:
+        """Return whether the target accepts connections."""
+
 
 class HttpDispatcher(Dispatcher):
     """Sends calls over HTTP, with the expected instance in a header."""
@@ -65,6 +69,14 @@
         """Close connections that exceed the idle limit."""
         self._client.prune(now_s)
 
+    async def probe(self) -> bool:
+        """Return whether the target accepts connections."""
+        try:
+            await self._client.probe()
+        except NotSentError:
+            return False
+        return True
+
     async def send(self, call: Call) -> Reply:
         """Send a call once."""
         request = self._request(call)
@@ -86,7 +98,8 @@
                 Ending.REFUSED, str(error), RefusedFor.DOWN
             )
         except AnswerLostError as error:
-            return reply_without_response(Ending.UNKNOWN, str(error))
+            lost = reply_without_response(Ending.UNKNOWN, str(error))
+            return msgspec.structs.replace(lost, is_connection_lost=True)
         except TimeoutError:
             return reply_without_response(Ending.UNKNOWN, 'no answer in time')
         reply = self._classify(response)
--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -13,8 +13,10 @@
     Refuse,
 )
 from fescueknot.admission.rank import rank_of_level
+from fescueknot.quarantine.fingerprint import fingerprint_of
 from fescueknot.relay.announced_state import AnnouncedState
 from fescueknot.relay.announcement import Announcement
+from fescueknot.relay.crash_watch import CrashWatch
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.messages import (
@@ -24,6 +26,7 @@
     Ending,
     RefusedFor,
     Reply,
+    reply_without_response,
 )
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.runs import LocalRuns, Run
@@ -48,6 +51,7 @@
     }
 )
 _CALLER_LEFT = 'the caller left'
+_TARGET_CRASHED = 'the target crashed'
 _CANCELLED_REPLY = Reply(
     head=AnswerHead(ending=Ending.UNKNOWN, detail=_CALLER_LEFT)
 )
@@ -77,6 +81,9 @@
         self._runs = runs
         self._load_reporter = load_reporter
         self._on_target_leaving = on_target_leaving
+        self._crash_watch = CrashWatch(
+            probe=dispatcher.probe, on_crash=self._target_crashed
+        )
         self._queue = SlotQueue(slots=1)
         self._queue_key: tuple[str, int, int] | None = None
         self._logged_limit = 0
@@ -201,9 +208,11 @@
         )
         run_id = self._runs.begin(run)
         began_s = asyncio.get_running_loop().time()
+        self._crash_watch.begin(call)
         try:
-            reply = await self._dispatcher.send(call)
+            reply = await self._send_and_check(call)
         except asyncio.CancelledError:
+            self._crash_watch.break_off(call)
             self._note_sent(call, _CANCELLED_REPLY, began_s)
             raise
         finally:
@@ -216,6 +225,32 @@
         head = msgspec.structs.replace(reply.head, failed_below=failed_below)
         return Reply(head=head, response=reply.response)
 
+    async def _send_and_check(self, call: Call) -> Reply:
+        """Send a call; if its answer is lost, check the target first."""
+        reply = await self._dispatcher.send(call)
+        if reply.is_connection_lost and await self._crash_watch.has_crashed():
+            self._crash_watch.end(call)
+            return reply_without_response(Ending.UNKNOWN, _TARGET_CRASHED)
+        if reply.head.ending is Ending.UNKNOWN:
+            self._crash_watch.break_off(call)
+        else:
+            self._crash_watch.end(call)
+        return reply
+
+    def _target_crashed(self, calls: tuple[Call, ...]) -> None:
+        """Log a crash of the target and what it was working on."""
+        current = self._target.current
+        self._observer.note(
+            'target.crashed',
+            instance=current.instance if current else '',
+            started_ms=current.started_ms if current else 0,
+            calls=len(calls),
+            fingerprints=sorted(
+                fingerprint_of(call.request, call.head.caller_service)
+                for call in calls
+            ),
+        )
+
     def _record_announcement(
         self, head: CallHead, announcement: Announcement
     ) -> None:
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -134,12 +134,14 @@
 class Reply(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a call, with the target's response if there is one.
 
-    ``announcement`` is that of the target's answer, at its own node only.
+    Known at the target's own node only: ``announcement`` is that of its answer,
+    ``is_connection_lost`` that the connection ended without an answer.
     """
 
     head: AnswerHead
     response: Response | None = None
     announcement: Announcement | None = None
+    is_connection_lost: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -48,6 +48,7 @@
         self.sent = []
         self.cancelled = []
         self.release = asyncio.Event()
+        self.accepts_connections = True
 
     async def send(self, call):
         self.sent.append(call.head.attempt)
@@ -58,6 +59,9 @@
             raise
         return self.reply
 
+    async def probe(self):
+        return self.accepts_connections
+
 
 def make_call(attempt='c', **changes):
     fields = {
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -59,6 +59,9 @@
             announcement=self.announcement,
         )
 
+    async def probe(self):
+        return True
+
     def most_arrivals_in(self, window_s, *, from_s=0, to_s=math.inf):
         """Return the largest number of arrivals in a sliding window."""
         times = [at_s for at_s, _ in self.arrivals if from_s <= at_s < to_s]
