--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -18,7 +18,7 @@
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
-from fescueknot.relay.messages import AnswerHead, Ending, Reply
+from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
 from fescueknot.relay.peers import PeerHandler, PeerNodes
 from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
@@ -28,31 +28,65 @@
 from fescueknot.routes.messages import Configuration, Route, WeightedService
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LeavingBounds, LocalTarget
-from fescueknot.targets.messages import Heartbeat
+from fescueknot.targets.messages import Heartbeat, TargetEntry
 from tests.relay.caller_handlers import HEADER_NAMES, HERE
-from tests.relay.fakes import RecordingObserver, target_documents
+from tests.relay.fakes import (
+    RecordingObserver,
+    target_document,
+    target_documents,
+)
 
 SERVICE = 'entries'
 _SLOTS = 6
 DRAIN_S = 2.5
 
 
+_NO_CONNECTION = Reply(
+    head=AnswerHead(ending=Ending.REFUSED, refused_for=RefusedFor.DOWN)
+)
+_CONNECTION_LOST = Reply(
+    head=AnswerHead(ending=Ending.UNKNOWN), is_connection_lost=True
+)
+
+
 class SimulatedTarget(Dispatcher):
     """Answers after ``service_s`` with its current announcement.
 
-    ``arrivals`` holds the time and the attempt id of each request.
+    ``arrivals`` holds the time and the attempt id of each request,
+    ``deadly_arrivals`` the times of those whose path is in ``deadly_paths``.
+    Such a request crashes the target ``crash_after_s`` after its arrival. A
+    crashed target is down for ``down_s``; then ``on_restart`` is called.
     """
 
+    crash_after_s = 0.05
+    down_s = 3.2
+
     def __init__(self, *, service_s=0.02, slots=_SLOTS):
         self.service_s = service_s
         self.slots = slots
         self.announcement = Announcement()
         self.arrivals = []
+        self.deadly_paths = frozenset()
+        self.deadly_arrivals = []
+        self.crashed_at_s = []
+        self.is_up = True
+        self.on_restart = lambda: None
+        self._crash = None
 
     async def send(self, call):
-        now_s = asyncio.get_running_loop().time()
-        self.arrivals.append((now_s, call.head.attempt))
-        await asyncio.sleep(self.service_s)
+        loop = asyncio.get_running_loop()
+        if not self.is_up:
+            return _NO_CONNECTION
+        self.arrivals.append((loop.time(), call.head.attempt))
+        if call.request.target in self.deadly_paths:
+            self.deadly_arrivals.append(loop.time())
+            loop.call_later(self.crash_after_s, self.crash)
+        if self._crash is None:
+            self._crash = loop.create_future()
+        crash = self._crash
+        await asyncio.wait((crash,), timeout=self.service_s_of(call))
+        if crash.done():
+            return _CONNECTION_LOST
         return Reply(
             head=AnswerHead(ending=Ending.ANSWERED),
             response=Response(status=200, body=b'ok'),
@@ -60,7 +94,28 @@
         )
 
     async def probe(self):
-        return True
+        return self.is_up
+
+    def service_s_of(self, call):
+        """Return the service time; a deadly request does not get an answer."""
+        is_deadly = call.request.target in self.deadly_paths
+        return self.service_s + is_deadly * 2 * self.crash_after_s
+
+    def crash(self):
+        """End all connections and accept none for ``down_s``."""
+        if not self.is_up:
+            return
+        loop = asyncio.get_running_loop()
+        self.crashed_at_s.append(loop.time())
+        self.is_up = False
+        if self._crash is not None:
+            self._crash.set_result(None)
+        self._crash = None
+        loop.call_later(self.down_s, self._restart)
+
+    def _restart(self):
+        self.is_up = True
+        self.on_restart()
 
     def most_arrivals_in(self, window_s, *, from_s=0, to_s=math.inf):
         """Return the largest number of arrivals in a sliding window."""
@@ -112,8 +167,11 @@
         self.target = target
         self.observer = RecordingObserver()
         self.is_running = False
+        self.started_ms = 1
         self._fleet = fleet
         self._starts_s = []
+        self._heartbeats = itertools.count(1)
+        target.on_restart = self._target_restarted
         self.start()
 
     def started_before(self, time_s):
@@ -125,16 +183,8 @@
         self._starts_s.append(asyncio.get_running_loop().time())
         rng = seeded(seed=fleet.seed * 1000 + self.port)
         local_target = LocalTarget(bounds=LeavingBounds(accept_s=DRAIN_S / 2))
-        local_target.receive_heartbeat(
-            Heartbeat(
-                instance=f'i-{self.port}',
-                started_ms=1,
-                sequence=1,
-                service=SERVICE,
-                slots=self.target.slots,
-            ),
-            asyncio.get_running_loop().time(),
-        )
+        self._local_target = local_target
+        self._receive_heartbeat()
         routes = RoutesInForce(rng=rng)
         routes.offer(Configuration(version=1, routes=fleet.routes))
         runs = LocalRuns()
@@ -152,6 +202,8 @@
         peers = _InMemoryPeers(fleet=fleet, observer=self.observer)
         directory = TargetDirectory()
         directory.apply_changes(target_documents(HERE, *fleet.ports))
+        directory.apply_changes(fleet.restarted_targets)
+        self._directory = directory
         selector = TargetSelector(
             directory=directory,
             routes=routes,
@@ -162,6 +214,7 @@
             ),
             rng=rng,
         )
+        self._selector = selector
         self.peer_handler = PeerHandler(
             gatekeeper=gatekeeper,
             header_names=HEADER_NAMES,
@@ -193,7 +246,31 @@
     def stop(self):
         self.is_running = False
 
-    async def ask(self, attempt, *, route='normal', deadline_ms=2000):
+    def update_targets(self, documents):
+        """Apply changed entries to the directory."""
+        services = self._directory.apply_changes(documents)
+        self._selector.refresh(services, asyncio.get_running_loop().time())
+
+    def _target_restarted(self):
+        self.started_ms += 1
+        self._receive_heartbeat()
+        self._fleet.target_restarted(self)
+
+    def _receive_heartbeat(self):
+        self._local_target.receive_heartbeat(
+            Heartbeat(
+                instance=f'i-{self.port}',
+                started_ms=self.started_ms,
+                sequence=next(self._heartbeats),
+                service=SERVICE,
+                slots=self.target.slots,
+            ),
+            asyncio.get_running_loop().time(),
+        )
+
+    async def ask(
+        self, attempt, *, route='normal', deadline_ms=2000, path=None
+    ):
         """Return the answer to a caller's request."""
         headers = (
             ('host', 'h'),
@@ -201,7 +278,7 @@
             ('deadline-ms', str(deadline_ms)),
         )
         request = Request(
-            method='GET', target=f'/{route}/{attempt}', headers=headers
+            method='GET', target=path or f'/{route}/{attempt}', headers=headers
         )
         return await self._caller_handler.answer(request, '10.0.0.9')
 
@@ -225,6 +302,7 @@
             for name, importance in (importances or {'normal': None}).items()
         )
         self.ports = tuple(range(1, nodes + 1))
+        self.restarted_targets = []
         self.by_port = {}
         for port in self.ports:
             target = SimulatedTarget(service_s=service_s)
@@ -251,6 +329,37 @@
             tasks.append(asyncio.ensure_future(self._ask(node, attempt, route)))
         await asyncio.gather(*tasks)
 
+    def target_restarted(self, node):
+        """Tell all nodes of the new start of a node's target."""
+        document = target_document(
+            f'n{node.port}',
+            TargetEntry(
+                instance=f'i-{node.port}',
+                started_ms=node.started_ms,
+                service=SERVICE,
+                place=HERE,
+                node=Address(host='10.0.0.1', port=node.port),
+                slots=node.target.slots,
+            ),
+            revision=node.started_ms,
+        )
+        self.restarted_targets.append(document)
+        for other in self.nodes:
+            other.update_targets((document,))
+
+    async def repeat(self, path, *, rate_per_s, duration_s):
+        """Send the same request again and again, each time to any node."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        tasks = []
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+            running = [node for node in self.nodes if node.is_running]
+            node = self._rng.choice(running)
+            attempt = f'again-{loop.time():.4f}'
+            tasks.append(asyncio.ensure_future(node.ask(attempt, path=path)))
+        return await asyncio.gather(*tasks)
+
     def served_fraction(self, route=None, from_s=0):
         """Return the fraction of the requests on ``route`` that succeeded.
 
