Hold back requests that have crashed three targets

Cause: a node knew a request by its attempt id only, and forgot it with its end; a gate could not tell a crash from a lost answer.

Change: a gate that sees its target crash records the fingerprints of the calls that were at it and tells the gates of its service; a target's success clears them. A fingerprint at two crashes runs alone among suspects, so that the third crash speaks against it only; after the third one every node refuses it with 503 and the time until which it is held, 300 s, four times as long after each crash that follows its release.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from fescueknot.httpio.encoding import encode_request
-from fescueknot.httpio.errors import AnswerLostError, NotSentError
+from fescueknot.httpio.errors import (
+    AnswerLostError,
+    NotListeningError,
+    NotSentError,
+)
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.parsing import (
     MAX_RESPONSE_BODY_BYTES,
@@ -266,10 +270,10 @@
                 ),
                 self._settings.connect_timeout_s,
             )
+        except ConnectionRefusedError as error:
+            raise NotListeningError(self._failure_text(error)) from error
         except (OSError, TimeoutError) as error:
-            raise NotSentError(
-                f'cannot connect to {self._address}: {error!r}'
-            ) from error
+            raise NotSentError(self._failure_text(error)) from error
         self.connections_opened += 1
         set_tcp_timeouts(
             transport.get_extra_info('socket'),
@@ -277,6 +281,9 @@
         )
         return connection
 
+    def _failure_text(self, error: Exception) -> str:
+        return f'cannot connect to {self._address}: {error!r}'
+
 
 def _accept_any(response: Response) -> bool:
     """Accept every response."""
--- a/fescueknot/httpio/errors.py
+++ b/fescueknot/httpio/errors.py
@@ -15,5 +15,9 @@
     """No connection could be opened; nothing was sent."""
 
 
+class NotListeningError(NotSentError):
+    """The connection was refused: no process listens at the address."""
+
+
 class AnswerLostError(HttpIoError):
     """The request was sent, but no complete response was received."""
--- /dev/null
+++ b/fescueknot/quarantine/evidence.py
@@ -0,0 +1,116 @@
+"""What speaks for and against one fingerprint.
+
+Evidence of several nodes is merged by union, in any order. All decisions are
+functions of the merged evidence, so nodes that have the same evidence decide
+the same.
+"""
+
+import hashlib
+import math
+
+import msgspec
+
+# Crashes after which requests are run one at a time, and held back.
+SUSPECTED_CRASHES = 2
+QUARANTINE_CRASHES = 3
+# A request that crashes a target after it was released is held back longer.
+FIRST_HOLD_S = 300.0
+MAX_HOLD_S = 21_600.0
+_HOLD_FACTOR = 4
+# Without a further crash, suspicion is forgotten after this time.
+SUSPICION_S = 600.0
+# Later crashes of one fingerprint replace the oldest beyond this number.
+MAX_CRASHES = 16
+_CHECKSUM_BYTES = 8
+
+TargetStart = tuple[str, int]
+
+
+class Hold(msgspec.Struct, frozen=True, kw_only=True):
+    """The latest time of holding back, in the time of the event loop."""
+
+    until_s: float = -math.inf
+    duration_s: float = 0
+
+
+class Evidence:
+    """Crashes under requests with one fingerprint, and their last success.
+
+    ``crash_times_s`` holds, by start of a target, when it crashed.
+    ``cleared_at_s`` is the last time at which a target has answered such a
+    request; the crashes before it don't count. ``checksum`` is the same at
+    all nodes with the same evidence.
+    """
+
+    __slots__ = ('cleared_at_s', 'crash_times_s', 'checksum', 'hold')
+
+    def __init__(self) -> None:
+        self.crash_times_s: dict[TargetStart, float] = {}
+        self.cleared_at_s = -math.inf
+        self.hold = Hold()
+        self.checksum = 0
+
+    @property
+    def crashes(self) -> int:
+        """Return the number of crashes that count."""
+        return len(self.crash_times_s)
+
+    def add_crash(self, start: TargetStart, at_s: float) -> bool:
+        """Add a crash; return whether that changed anything."""
+        if at_s <= self.cleared_at_s or start in self.crash_times_s:
+            return False
+        self.crash_times_s[start] = at_s
+        if self.crashes > MAX_CRASHES:
+            oldest = min(self.crash_times_s, key=self.crash_times_s.__getitem__)
+            self.crash_times_s.pop(oldest)
+        self._update()
+        return True
+
+    def clear(self, at_s: float) -> bool:
+        """Drop the crashes up to ``at_s``; return whether it was news."""
+        was_cleared = math.isfinite(self.cleared_at_s)
+        self.cleared_at_s = max(self.cleared_at_s, at_s)
+        remaining = {
+            start: crashed_s
+            for start, crashed_s in self.crash_times_s.items()
+            if crashed_s > self.cleared_at_s
+        }
+        has_dropped = len(remaining) < self.crashes
+        self.crash_times_s = remaining
+        self._update()
+        return has_dropped or not was_cleared
+
+    def is_held(self, now_s: float) -> bool:
+        """Return whether such requests are held back."""
+        return now_s < self.hold.until_s
+
+    def forget_at_s(self) -> float:
+        """Return when this evidence is of no use any more."""
+        latest_s = max(self.crash_times_s.values(), default=self.cleared_at_s)
+        return max(
+            latest_s + SUSPICION_S, self.hold.until_s + self.hold.duration_s
+        )
+
+    def _update(self) -> None:
+        self.hold = _latest_hold(sorted(self.crash_times_s.values()))
+        parts = (math.isfinite(self.cleared_at_s), *sorted(self.crash_times_s))
+        digest = hashlib.blake2b(
+            repr(parts).encode(), digest_size=_CHECKSUM_BYTES
+        )
+        self.checksum = int.from_bytes(digest.digest(), 'big')
+
+
+def _latest_hold(crash_times_s: list[float]) -> Hold:
+    """Return the hold that follows from the times of crashes.
+
+    Crashes during a hold belong to requests that were on their way.
+    """
+    hold = Hold()
+    next_duration_s = FIRST_HOLD_S
+    for crashed_s in crash_times_s[QUARANTINE_CRASHES - 1 :]:
+        if crashed_s >= hold.until_s:
+            hold = Hold(
+                until_s=crashed_s + next_duration_s, duration_s=next_duration_s
+            )
+            next_duration_s = min(next_duration_s * _HOLD_FACTOR, MAX_HOLD_S)
+    return hold
--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -14,11 +14,13 @@
     Call,
     CallHead,
     Ending,
+    RefusedFor,
     Reply,
 )
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.request_attempts import RequestAttempts, not_run_response
 from fescueknot.relay.runs import Lineage, LocalRuns
+from fescueknot.relay.suspect_requests import SuspectRequests
 from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.retries.shared_budget import MAX_URGENCY
 from fescueknot.routes.in_force import RoutesInForce
@@ -49,6 +51,7 @@
         sender: AttemptSender,
         observer: Observer,
         runs: LocalRuns,
+        suspects: SuspectRequests,
         levels: LevelsByRoute,
     ) -> None:
         self._service = service
@@ -58,6 +61,7 @@
         self._sender = sender
         self._log = CallLog(observer=observer)
         self._runs = runs
+        self._suspects = suspects
         self._levels = levels
         self.refuses_root_requests = False
 
@@ -73,8 +77,8 @@
     async def answer(self, request: Request, peer: str) -> Response | None:
         """Return the answer to a request.
 
-        503 while no routes are known, 404 without a matching route, 400
-        without a host or an attempt id.
+        503 while no routes are known or while the request is held back, 404
+        without a matching route, 400 without a host or an attempt id.
         """
         if not self._routes.is_loaded:
             return not_run_response(_NO_ROUTES_RETRY_AFTER_S)
@@ -86,6 +90,10 @@
         attempt = request.header(self._header_names.attempt)
         if attempt is None:
             return Response(status=400)
+        held = self._suspects.held_request(request, self._service)
+        if held is not None:
+            self._log.quarantined(attempt, route, held)
+            return not_run_response(held.left_s)
         return await self._answer_in_time(request, route)
 
     def _route(self, request: Request) -> Route | None:
@@ -222,7 +230,7 @@
         """Record a reply and return whether to try another target."""
         attempts.record_reply(reply)
         if reply.head.ending is Ending.REFUSED:
-            return True
+            return reply.head.refused_for is not RefusedFor.QUARANTINED
         if reply.head.ending is not Ending.TURNED_AWAY:
             if reply.is_success or not call.head.idempotent:
                 return False
--- a/fescueknot/relay/crash_watch.py
+++ b/fescueknot/relay/crash_watch.py
@@ -1,8 +1,8 @@
 """Finds out that the target on this host has crashed, and under which calls.
 
 When a target crashes, the connections of all calls in progress end without an
-answer and it accepts no connection. A target that lost one answer, or whose
-connections were reset, still accepts connections.
+answer and its host refuses new ones. A target that lost one answer, or whose
+connections were reset, still listens.
 """
 
 import asyncio
@@ -19,17 +19,17 @@
 class CrashWatch:
     """Keeps the calls at the target, and checks it when answers are lost.
 
-    ``probe`` returns whether the target accepts connections. ``on_crash`` is
-    called with the calls that were at the target when it crashed.
+    ``is_listening`` returns whether the target's process listens. ``on_crash``
+    is called with the calls that were at the target when it crashed.
     """
 
     def __init__(
         self,
         *,
-        probe: Callable[[], Awaitable[bool]],
+        is_listening: Callable[[], Awaitable[bool]],
         on_crash: Callable[[tuple[Call, ...]], None],
     ) -> None:
-        self._probe = probe
+        self._is_listening = is_listening
         self._on_crash = on_crash
         self._running: dict[str, Call] = {}
         self._broken_off: collections.deque[tuple[float, Call]] = (
@@ -62,13 +62,13 @@
 
     async def _run_check(self) -> bool:
         try:
-            accepts_connections = await self._probe()
+            is_listening = await self._is_listening()
         finally:
             self._check = None
-        if not accepts_connections:
+        if not is_listening:
             self._on_crash(self._calls_at_target())
             self._broken_off.clear()
-        return not accepts_connections
+        return not is_listening
 
     def _calls_at_target(self) -> tuple[Call, ...]:
         oldest_s = asyncio.get_running_loop().time() - _BROKEN_OFF_RUN_S
--- a/fescueknot/relay/dispatch.py
+++ b/fescueknot/relay/dispatch.py
@@ -8,7 +8,11 @@
 
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.encoding import end_to_end
-from fescueknot.httpio.errors import AnswerLostError, NotSentError
+from fescueknot.httpio.errors import (
+    AnswerLostError,
+    NotListeningError,
+    NotSentError,
+)
 from fescueknot.httpio.messages import Headers, Request, Response
 from fescueknot.identity import Address
 from fescueknot.relay.announcement import read_announcement
@@ -49,8 +53,8 @@
         """Send a call once; if cancelled, close the connection."""
 
     @abc.abstractmethod
-    async def probe(self) -> bool:
-        """Return whether the target accepts connections."""
+    async def is_listening(self) -> bool:
+        """Return whether a process listens at the target's address."""
 
 
 class HttpDispatcher(Dispatcher):
@@ -69,12 +73,15 @@
         """Close connections that exceed the idle limit."""
         self._client.prune(now_s)
 
-    async def probe(self) -> bool:
-        """Return whether the target accepts connections."""
+    async def is_listening(self) -> bool:
+        """Return false only if the host of the target refuses a connection."""
         try:
             await self._client.probe()
-        except NotSentError:
+        except NotListeningError:
             return False
+        except NotSentError:
+            # No answer in time: the target may be busy.
+            return True
         return True
 
     async def send(self, call: Call) -> Reply:
--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -28,6 +28,7 @@
     DirectoryUpdater,
     document_of,
 )
+from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.relay.targets_fetcher import TargetsFetcher
 from fescueknot.routes.in_force import RoutesInForce
@@ -58,6 +59,7 @@
         observer: Observer,
         metrics: NodeMetrics,
         rng: random.Random,
+        suspects: SuspectExchange,
         on_local_entry_change: Callable[[TargetEntry | None], None],
     ) -> None:
         self._settings = settings
@@ -75,6 +77,7 @@
             directory=directory,
             observer=observer,
             rng=rng,
+            suspects=suspects,
             on_change=self._replica_changed,
             on_routes_version=self._record_peer_version,
         )
--- a/fescueknot/relay/gatekeeper.py
+++ b/fescueknot/relay/gatekeeper.py
@@ -13,28 +13,27 @@
     Refuse,
 )
 from fescueknot.admission.rank import rank_of_level
-from fescueknot.quarantine.fingerprint import fingerprint_of
 from fescueknot.relay.announced_state import AnnouncedState
-from fescueknot.relay.announcement import Announcement
-from fescueknot.relay.crash_watch import CrashWatch
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.messages import (
     AnswerHead,
     Call,
-    CallHead,
     Ending,
     RefusedFor,
     Reply,
-    reply_without_response,
 )
 from fescueknot.relay.observer import Observer
-from fescueknot.relay.runs import LocalRuns, Run
+from fescueknot.relay.runs import LocalRuns
 from fescueknot.relay.slot_queue import SlotQueue
+from fescueknot.relay.suspect_requests import SuspectRequests
+from fescueknot.relay.target_sender import CALLER_LEFT, TargetSender
 from fescueknot.targets.local_target import Availability, LocalTarget
 
 _MS_PER_S = 1000
 _DOWN_RETRY_AFTER_S = 0.5
+# A suspect runs alone; most run for a fraction of a second.
+_SUSPECTED_RETRY_AFTER_S = 0.3
 
 _REFUSED_FOR_BY_STANDING = types.MappingProxyType(
     {
@@ -50,11 +49,6 @@
         Ending.UNKNOWN: CompletionKind.FAILED,
     }
 )
-_CALLER_LEFT = 'the caller left'
-_TARGET_CRASHED = 'the target crashed'
-_CANCELLED_REPLY = Reply(
-    head=AnswerHead(ending=Ending.UNKNOWN, detail=_CALLER_LEFT)
-)
 
 
 class Gatekeeper:
@@ -72,36 +66,42 @@
         dispatcher: Dispatcher,
         observer: Observer,
         runs: LocalRuns,
+        suspects: SuspectRequests,
         load_reporter: LoadReporter,
         on_target_leaving: Callable[[], None],
     ) -> None:
         self._target = target
-        self._dispatcher = dispatcher
         self._observer = observer
         self._runs = runs
         self._load_reporter = load_reporter
-        self._on_target_leaving = on_target_leaving
-        self._crash_watch = CrashWatch(
-            probe=dispatcher.probe, on_crash=self._target_crashed
-        )
+        self._suspects = suspects
         self._queue = SlotQueue(slots=1)
         self._queue_key: tuple[str, int, int] | None = None
         self._logged_limit = 0
         self.announced = AnnouncedState(observer=observer)
+        self._sender = TargetSender(
+            target=target,
+            dispatcher=dispatcher,
+            runs=runs,
+            announced=self.announced,
+            suspects=suspects,
+            note=self._note,
+            on_target_leaving=on_target_leaving,
+        )
         self.stopping = False
 
     async def submit(self, call: Call) -> Reply:
         """Send a call to the target or refuse it; return its result."""
-        refused_for = self._refused_for(call)
-        if refused_for is not RefusedFor.NONE:
-            return self._with_load(self._refuse(call, refused_for), call)
+        refusal = self._refusal(call)
+        if refusal is not None:
+            return self._with_load(refusal, call)
         queue = self._current_queue()
         now_s = asyncio.get_running_loop().time()
         self.announced.adopt(call.head.rate_limit_per_s, now_s)
         try:
             decision = await queue.admit(call)
         except asyncio.CancelledError:
-            self._note('gate.refused', call, reason=_CALLER_LEFT, detail='')
+            self._note('gate.refused', call, reason=CALLER_LEFT, detail='')
             raise
         if isinstance(decision, Refuse):
             refused = self._refuse(
@@ -145,6 +145,20 @@
             return RefusedFor.EXPIRED
         return RefusedFor.NONE
 
+    def _refusal(self, call: Call) -> Reply | None:
+        """Return the refusal of a call that can't be sent, else ``None``."""
+        held = self._suspects.held_request(
+            call.request, call.head.caller_service
+        )
+        if held is not None:
+            return self._refuse(
+                call, RefusedFor.QUARANTINED, held.left_s, held.fingerprint
+            )
+        refused_for = self._refused_for(call)
+        if refused_for is not RefusedFor.NONE:
+            return self._refuse(call, refused_for)
+        return None
+
     def _current_queue(self) -> SlotQueue:
         """Return the queue for the current start and slots of the target."""
         current = self._target.current
@@ -193,85 +207,15 @@
         )
 
     async def _dispatch_unless_refused(self, call: Call) -> Reply:
-        """Check the target again, as it may have left meanwhile; then send."""
-        refused_for = self._refused_for(call)
-        if refused_for is not RefusedFor.NONE:
-            return self._refuse(call, refused_for)
-        return await self._dispatch(call)
-
-    async def _dispatch(self, call: Call) -> Reply:
-        run = Run(
-            attempt=call.head.attempt,
-            route=call.head.route,
-            lineage=call.head.lineage,
-            expires_s=call.expires_s,
-        )
-        run_id = self._runs.begin(run)
-        began_s = asyncio.get_running_loop().time()
-        self._crash_watch.begin(call)
-        try:
-            reply = await self._send_and_check(call)
-        except asyncio.CancelledError:
-            self._crash_watch.break_off(call)
-            self._note_sent(call, _CANCELLED_REPLY, began_s)
-            raise
-        finally:
-            failed_below = self._runs.end(run_id)
-        self._note_sent(call, reply, began_s)
-        if reply.announcement is not None:
-            self._record_announcement(call.head, reply.announcement)
-        if reply.head.refused_for is RefusedFor.OTHER_TARGET:
-            self._target.remove_mismatched(call.head.instance)
-        head = msgspec.structs.replace(reply.head, failed_below=failed_below)
-        return Reply(head=head, response=reply.response)
-
-    async def _send_and_check(self, call: Call) -> Reply:
-        """Send a call; if its answer is lost, check the target first."""
-        reply = await self._dispatcher.send(call)
-        if reply.is_connection_lost and await self._crash_watch.has_crashed():
-            self._crash_watch.end(call)
-            return reply_without_response(Ending.UNKNOWN, _TARGET_CRASHED)
-        if reply.head.ending is Ending.UNKNOWN:
-            self._crash_watch.break_off(call)
-        else:
-            self._crash_watch.end(call)
-        return reply
-
-    def _target_crashed(self, calls: tuple[Call, ...]) -> None:
-        """Log a crash of the target and what it was working on."""
-        current = self._target.current
-        self._observer.note(
-            'target.crashed',
-            instance=current.instance if current else '',
-            started_ms=current.started_ms if current else 0,
-            calls=len(calls),
-            fingerprints=sorted(
-                fingerprint_of(call.request, call.head.caller_service)
-                for call in calls
-            ),
-        )
-
-    def _record_announcement(
-        self, head: CallHead, announcement: Announcement
-    ) -> None:
-        start = (head.instance, head.started_ms)
-        now_s = asyncio.get_running_loop().time()
-        self.announced.record(start, announcement, now_s)
-        if announcement.is_leaving and self._target.receive_leaving_answer(
-            *start, now_s
-        ):
-            self._on_target_leaving()
-
-    def _note_sent(self, call: Call, reply: Reply, began_s: float) -> None:
-        duration_s = asyncio.get_running_loop().time() - began_s
-        self._note(
-            'gate.sent',
-            call,
-            ms=int(duration_s * _MS_PER_S),
-            ending=str(reply.head.ending),
-            status=reply.response.status if reply.response else 0,
-            detail=reply.head.detail,
-        )
+        """Check again, as things may have changed meanwhile; then send."""
+        refusal = self._refusal(call)
+        if refusal is not None:
+            return refusal
+        if not self._suspects.begin(call):
+            return self._refuse(
+                call, RefusedFor.SUSPECTED, _SUSPECTED_RETRY_AFTER_S
+            )
+        return await self._sender.send(call)
 
     def _with_load(self, reply: Reply, call: Call) -> Reply:
         """Add the state of the target and its admission level to a reply."""
--- /dev/null
+++ b/fescueknot/relay/gauges.py
@@ -0,0 +1,33 @@
+"""Gauges of a node's parts."""
+
+import types
+from collections.abc import Callable, Mapping
+
+from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.suspect_requests import SuspectRequests
+
+_Gauges = Mapping[str, Callable[[], float]]
+
+
+def gate_gauges(gatekeeper: Gatekeeper) -> _Gauges:
+    """Return gauges of the gate beside the target, by name."""
+    announced = gatekeeper.announced
+    return types.MappingProxyType(
+        {
+            'slots': lambda: gatekeeper.load().limit,
+            'slots_in_use': lambda: gatekeeper.load().in_flight,
+            'waiting': lambda: gatekeeper.load().waiting,
+            'target_rate_limit_per_s': lambda: announced.rate_limit_per_s,
+            'target_leaving': lambda: announced.is_leaving,
+        }
+    )
+
+
+def suspect_gauges(suspects: SuspectRequests) -> _Gauges:
+    """Return gauges of requests that are suspected of crashing targets."""
+    return types.MappingProxyType(
+        {
+            'suspect_requests': lambda: suspects.count,
+            'quarantined_requests': lambda: len(suspects.held()),
+        }
+    )
--- a/fescueknot/relay/gossip_port.py
+++ b/fescueknot/relay/gossip_port.py
@@ -9,8 +9,10 @@
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.packing import pack, unpack
 from fescueknot.identity import Address
+from fescueknot.quarantine.messages import AnySuspectMessage
 
-_DECODER = msgspec.json.Decoder(AnyMessage)
+AnyDatagram = AnyMessage | AnySuspectMessage
+_DECODER = msgspec.json.Decoder(AnyDatagram)
 
 
 class GossipPort(asyncio.DatagramProtocol):
@@ -23,7 +25,7 @@
     def __init__(
         self,
         *,
-        on_message: Callable[[AnyMessage, Address], None],
+        on_message: Callable[[AnyDatagram, Address], None],
         on_unreadable: Callable[[Address, UnreadableMessageError], None],
     ) -> None:
         self._on_message = on_message
@@ -47,14 +49,14 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore errors of earlier sends, such as a closed port of a peer."""
 
-    def send(self, message: AnyMessage, target: Address) -> None:
+    def send(self, message: AnyDatagram, target: Address) -> None:
         """Send a message once, without waiting for a reply."""
         if self._transport is not None:
             datagram = pack(msgspec.json.encode(message))
             self._transport.sendto(datagram, (target.host, target.port))
 
 
-def decode(datagram: bytes) -> AnyMessage:
+def decode(datagram: bytes) -> AnyDatagram:
     """Decode a datagram; raise :class:`UnreadableMessageError`."""
     try:
         return _DECODER.decode(unpack(datagram))
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -9,8 +9,10 @@
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.protocol import GossipProtocol
 from fescueknot.identity import Address
-from fescueknot.relay.gossip_port import GossipPort
+from fescueknot.quarantine.messages import SuspectMessage
+from fescueknot.relay.gossip_port import AnyDatagram, GossipPort
 from fescueknot.relay.observer import Observer
+from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.targets.directory import TargetDirectory
 
 _SYNC_INTERVAL_S = 1.0
@@ -36,6 +38,7 @@
         directory: TargetDirectory,
         observer: Observer,
         rng: random.Random,
+        suspects: SuspectExchange,
         on_change: Callable[[], None],
         on_routes_version: Callable[[int, str], None],
     ) -> None:
@@ -46,9 +49,11 @@
         self._rng = rng
         self._on_change = on_change
         self._on_routes_version = on_routes_version
+        self._suspects = suspects
         self._port = GossipPort(
             on_message=self._receive, on_unreadable=self._log_unreadable
         )
+        suspects.connect(self._port.send)
         self._push_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address) -> None:
@@ -59,8 +64,10 @@
 
     async def run(self) -> None:
         """Send a question about every second, until cancelled."""
+        self._suspects.ask_at_start()
         while True:
             self._send_sync_request()
+            self._suspects.run_round()
             pause_s = _SYNC_INTERVAL_S * self._rng.uniform(0.8, 1.2)
             await asyncio.sleep(pause_s)
 
@@ -106,7 +113,13 @@
             question = self._protocol.sync_request(now_s=now_s, rng=self._rng)
             self._port.send(question, peer.address)
 
-    def _receive(self, message: AnyMessage, source: Address) -> None:
+    def _receive(self, message: AnyDatagram, source: Address) -> None:
+        if isinstance(message, SuspectMessage):
+            self._suspects.receive(message, source)
+        else:
+            self._receive_documents(message, source)
+
+    def _receive_documents(self, message: AnyMessage, source: Address) -> None:
         self._known_peers.record_alive(message.name)
         now_s = asyncio.get_running_loop().time()
         answers = self._protocol.receive(message, now_s=now_s, rng=self._rng)
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -83,6 +83,8 @@
     OVERLOAD = 'the target is full'
     EXPIRED = 'the time is over'
     UNREACHABLE = 'the node takes no connection'
+    SUSPECTED = 'another suspect of crashing targets runs'
+    QUARANTINED = 'it has crashed several targets'
 
 
 class AnswerHead(
--- a/fescueknot/relay/metrics.py
+++ b/fescueknot/relay/metrics.py
@@ -34,7 +34,7 @@
     {
         'call.ended': _SERVICE_LABELS,
         'call.abandoned': _SERVICE_LABELS,
-        'call.shed': ('route',),
+        'call.shed': ('route', 'reason'),
         'call.reply': ('ending', 'reason'),
         'gate.sent': ('ending',),
         'gate.refused': ('reason', 'detail'),
@@ -45,6 +45,7 @@
         'store.regained': _KIND_LABELS,
     }
 )
+_LabelledReader = Callable[[], Mapping[str, float]]
 _TIMED_EVENTS = frozenset(('call.ended', 'gate.sent'))
 
 
@@ -62,6 +63,7 @@
         )
         self._latencies: dict[tuple[str, ...], HdrHistogram] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labelled_gauges: dict[tuple[str, str], _LabelledReader] = {}
         self._info_labels: dict[str, str] = {}
 
     def describe(self, **labels: str) -> None:
@@ -72,6 +74,15 @@
         """Add a gauge; ``read`` returns its value on each request."""
         self._gauges[name] = read
 
+    def labelled_gauge(
+        self, name: str, label: str, read: _LabelledReader
+    ) -> None:
+        """Add a gauge with a value for each value of a label.
+
+        ``read`` returns a bounded number of them on each request.
+        """
+        self._labelled_gauges[name, label] = read
+
     def note(self, event: str, details: Mapping[str, object]) -> None:
         """Count an event, and record its latency if it has one."""
         key = (event, *_label_values(event, details))
@@ -117,6 +128,10 @@
     def _gauge_lines(self) -> Iterator[str]:
         for name, read in sorted(self._gauges.items()):
             yield f'fescueknot_{name} {read():g}'
+        for (name, label), read_all in self._labelled_gauges.items():
+            for label_value, number in read_all().items():
+                labels = _label_text(((label, label_value),))
+                yield _line(name, labels, f'{number:g}')
 
 
 class MetricsHandler(Handler):
@@ -168,7 +183,7 @@
         yield bound, sum(counts)
 
 
-def _line(name: str, labels: str, number: int) -> str:
+def _line(name: str, labels: str, number: int | str) -> str:
     return f'fescueknot_{name}{{{labels}}} {number}'
 
 
--- a/fescueknot/relay/observer.py
+++ b/fescueknot/relay/observer.py
@@ -6,7 +6,15 @@
 from fescueknot.telemetry.decision_log import DecisionLog
 
 # Changes of state: the rate limit of the log does not drop their lines.
-_RARE_EVENTS = ('node.', 'store.', 'routes.', 'target.', 'targets.', 'log.')
+_RARE_EVENTS = (
+    'node.',
+    'store.',
+    'routes.',
+    'target.',
+    'targets.',
+    'request.',
+    'log.',
+)
 
 
 class Observer(abc.ABC):
--- a/fescueknot/relay/part_settings.py
+++ b/fescueknot/relay/part_settings.py
@@ -1,5 +1,6 @@
 """Settings of a node's parts, from the settings of the node."""
 
+from fescueknot.identity import Address
 from fescueknot.relay.settings import RelaySettings, parse_address
 from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.targets.local_target import LeavingBounds
@@ -15,11 +16,11 @@
     )
 
 
-def gossip_port_of(settings: RelaySettings) -> int:
-    """Return the port for gossip, 0 if the node does not gossip."""
-    if not settings.ports.gossip:
-        return 0
-    return parse_address(settings.ports.gossip).port
+def gossip_address(settings: RelaySettings) -> Address:
+    """Return the address for gossip; port 0 if the node does not gossip."""
+    if settings.ports.gossip:
+        return parse_address(settings.ports.gossip)
+    return Address(host=parse_address(settings.ports.peers).host, port=0)
 
 
 def retry_budget(settings: RelaySettings) -> SharedBudgetSettings:
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -8,6 +8,7 @@
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
+from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import unseeded
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.attempt_sender import AttemptSender
@@ -16,13 +17,14 @@
 from fescueknot.relay.endpoints import HeartbeatHandler, ReadyHandler
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.gauges import gate_gauges, suspect_gauges
 from fescueknot.relay.graceful_stop import GracefulStop
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.metrics import MetricsHandler, NodeMetrics
 from fescueknot.relay.observer import LogObserver
 from fescueknot.relay.part_settings import (
-    gossip_port_of,
+    gossip_address,
     leaving_bounds,
     retry_budget,
 )
@@ -34,6 +36,8 @@
     SettingsFile,
     parse_address,
 )
+from fescueknot.relay.suspect_exchange import SuspectExchange
+from fescueknot.relay.suspect_requests import SuspectRequests
 from fescueknot.relay.target_registrar import TargetRegistrar
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
 from fescueknot.routes.in_force import RoutesInForce
@@ -71,6 +75,20 @@
             address=parse_address(settings.target),
             header_names=adapter.header_names,
         )
+        suspect_book = SuspectBook()
+        suspect_exchange = SuspectExchange(
+            book=suspect_book,
+            service=settings.service,
+            local_address=gossip_address(settings),
+            directory=self._directory,
+            observer=self._observer,
+            rng=rng,
+        )
+        self._suspects = SuspectRequests(
+            book=suspect_book,
+            exchange=suspect_exchange,
+            observer=self._observer,
+        )
         self._runs = LocalRuns()
         self._levels = LevelsByRoute()
         self._gatekeeper = Gatekeeper(
@@ -78,6 +96,7 @@
             dispatcher=self._dispatcher,
             observer=self._observer,
             runs=self._runs,
+            suspects=self._suspects,
             load_reporter=LoadReporter(
                 version=lambda: self._routes.version,
                 runs=self._runs,
@@ -108,13 +127,14 @@
             observer=self._observer,
             metrics=self._metrics,
             rng=rng,
+            suspects=suspect_exchange,
             on_local_entry_change=self._local_entry_changed,
         )
         self._registrar = TargetRegistrar(
             node=settings.node,
             place=settings.place,
             peer_address=parse_address(settings.ports.peers),
-            gossip_port=gossip_port_of(settings),
+            gossip_port=gossip_address(settings).port,
             target_address=settings.target,
             target=self._target,
             adapter=adapter,
@@ -139,6 +159,7 @@
             ),
             observer=self._observer,
             runs=self._runs,
+            suspects=self._suspects,
             levels=self._levels,
         )
         peer_handler = PeerHandler(
@@ -223,23 +244,17 @@
             ('targets_revision', lambda: self._fleet_sync.revision),
             ('routes_evidence_age_s', self._fleet_sync.evidence_age_s),
             ('calls_in_progress', self._graceful_stop.in_progress),
-            ('slots', lambda: self._gatekeeper.load().limit),
-            ('slots_in_use', lambda: self._gatekeeper.load().in_flight),
-            ('waiting', lambda: self._gatekeeper.load().waiting),
-            (
-                'target_rate_limit_per_s',
-                lambda: self._gatekeeper.announced.rate_limit_per_s,
-            ),
-            (
-                'target_leaving',
-                lambda: self._gatekeeper.announced.is_leaving,
-            ),
+            *gate_gauges(self._gatekeeper).items(),
+            *suspect_gauges(self._suspects).items(),
             (
                 'target_connections_opened',
                 lambda: self._dispatcher.connections_opened,
             ),
         ):
             self._metrics.gauge(name, read)
+        self._metrics.labelled_gauge(
+            'quarantine_left_s', 'fingerprint', self._suspects.held_left_s
+        )
 
     def _is_ready(self) -> bool:
         is_synchronised = self._routes.is_loaded and self._directory.is_loaded
--- a/fescueknot/relay/request_attempts.py
+++ b/fescueknot/relay/request_attempts.py
@@ -1,11 +1,12 @@
 """Attempts made for one request, and the answer that results from them."""
 
 import enum
+import math
 
 from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Response
 from fescueknot.identity import InstanceId
-from fescueknot.relay.messages import Call, Ending, Reply
+from fescueknot.relay.messages import Call, Ending, RefusedFor, Reply
 from fescueknot.routes.messages import Route
 
 _MS_PER_S = 1000
@@ -37,6 +38,8 @@
     and ``at_target`` those that the target's node has not refused.
     ``in_flight`` is true while an attempt has no reply.
     ``max_retry_after_s`` is the longest Retry-After that the caller honours.
+    A request that is held back is told the whole time all the same, so that
+    nobody sends it again sooner.
     """
 
     def __init__(self, *, began_s: float, max_retry_after_s: float) -> None:
@@ -63,6 +66,8 @@
         self._response = reply.response or self._response
         if reply.head.retry_after_s:
             self._retry_after_s = reply.head.retry_after_s
+        if reply.head.refused_for is RefusedFor.QUARANTINED:
+            self._max_retry_after_s = math.inf
         if reply.head.ending is Ending.REFUSED:
             return
         self.at_target += 1
--- a/fescueknot/relay/target_selector.py
+++ b/fescueknot/relay/target_selector.py
@@ -47,6 +47,8 @@
     {
         RefusedFor.OVERLOAD: ResultKind.REFUSED,
         RefusedFor.EXPIRED: ResultKind.CANCELLED,
+        RefusedFor.SUSPECTED: ResultKind.CANCELLED,
+        RefusedFor.QUARANTINED: ResultKind.CANCELLED,
     }
 )
 _KIND_BY_ENDING = types.MappingProxyType(
--- a/fescueknot/targets/directory.py
+++ b/fescueknot/targets/directory.py
@@ -60,6 +60,14 @@
             node: listed.entry for node, listed in self._listed_by_node.items()
         }
 
+    def all_entries(self) -> list[TargetEntry]:
+        """Return all entries, in no order."""
+        return [listed.entry for listed in self._listed_by_node.values()]
+
+    def entries_of(self, service: str) -> list[TargetEntry]:
+        """Return the entries in effect of a service's targets."""
+        return list(self._entries_by_service.get(service, {}).values())
+
     def entry_of(self, node: str) -> TargetEntry | None:
         """Return the entry of one node."""
         listed = self._listed_by_node.get(node)
--- a/tests/relay/caller_handlers.py
+++ b/tests/relay/caller_handlers.py
@@ -22,7 +22,11 @@
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
 from fescueknot.targets.directory import TargetDirectory
-from tests.relay.fakes import RecordingObserver, target_documents
+from tests.relay.fakes import (
+    RecordingObserver,
+    make_suspects,
+    target_documents,
+)
 
 HERE = Place(region='sierra', failure_domain='sierra-a')
 HEADER_NAMES = HeaderNames()
@@ -65,7 +69,9 @@
     return directory
 
 
-def make_handler(peers, *, targets=4, tokens=3.0, observer=None, **changes):
+def make_handler(
+    peers, *, targets=4, tokens=3.0, observer=None, book=None, **changes
+):
     rng = seeded(seed=1)
     routes = RoutesInForce(rng=rng)
     fields = {
@@ -113,6 +119,7 @@
         ),
         observer=shared_observer,
         runs=LocalRuns(),
+        suspects=make_suspects(shared_observer, book),
         levels=levels,
     )
 
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,6 +8,8 @@
 from fescueknot.gossip.documents import Document
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address
+from fescueknot.quarantine.book import SuspectBook
+from fescueknot.randomness import seeded
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.levels_by_route import LevelsByRoute
@@ -21,6 +23,9 @@
 )
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.runs import Lineage, LocalRuns
+from fescueknot.relay.suspect_exchange import SuspectExchange
+from fescueknot.relay.suspect_requests import SuspectRequests
+from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LeavingBounds, LocalTarget
 from fescueknot.targets.messages import Heartbeat, TargetEntry
 
@@ -48,7 +53,7 @@
         self.sent = []
         self.cancelled = []
         self.release = asyncio.Event()
-        self.accepts_connections = True
+        self.listens = True
 
     async def send(self, call):
         self.sent.append(call.head.attempt)
@@ -59,8 +64,8 @@
             raise
         return self.reply
 
-    async def probe(self):
-        return self.accepts_connections
+    async def is_listening(self):
+        return self.listens
 
 
 def make_call(attempt='c', **changes):
@@ -106,6 +111,7 @@
                 place=place,
                 node=Address(host='10.0.0.1', port=port),
                 slots=6,
+                gossip_port=port,
             ),
         )
         for port in ports
@@ -120,6 +126,30 @@
     )
 
 
+def make_exchange(
+    book, observer, *, directory=None, service='entries', port=1, seed=1
+):
+    """Return an exchange that is connected to no network."""
+    return SuspectExchange(
+        book=book,
+        service=service,
+        local_address=Address(host='10.0.0.1', port=port),
+        directory=directory or TargetDirectory(),
+        observer=observer,
+        rng=seeded(seed=seed),
+    )
+
+
+def make_suspects(observer, book=None, exchange=None):
+    """Return the suspects of a node, without peers unless given."""
+    own_book = SuspectBook() if book is None else book
+    return SuspectRequests(
+        book=own_book,
+        exchange=exchange or make_exchange(own_book, observer),
+        observer=observer,
+    )
+
+
 class GatekeeperSetup:
     """A gatekeeper with its target, a fake dispatcher and an observer."""
 
@@ -137,6 +167,7 @@
             dispatcher=self.dispatcher,
             observer=self.observer,
             runs=runs,
+            suspects=make_suspects(self.observer),
             load_reporter=LoadReporter(
                 version=lambda: 7, runs=runs, levels=LevelsByRoute()
             ),
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -7,15 +7,19 @@
 import itertools
 import math
 
+import msgspec
+
 from fescueknot.httpio.errors import NotSentError
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address
+from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import seeded
 from fescueknot.relay.announcement import Announcement
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.dispatch import Dispatcher
 from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.gossip_port import decode
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
@@ -32,6 +36,8 @@
 from tests.relay.caller_handlers import HEADER_NAMES, HERE
 from tests.relay.fakes import (
     RecordingObserver,
+    make_exchange,
+    make_suspects,
     target_document,
     target_documents,
 )
@@ -39,6 +45,8 @@
 SERVICE = 'entries'
 _SLOTS = 6
 DRAIN_S = 2.5
+# One way, within a failure domain and between regions.
+_DELAYS_S = (0.0005, 0.02)
 
 
 _NO_CONNECTION = Reply(
@@ -70,7 +78,7 @@
         self.deadly_arrivals = []
         self.crashed_at_s = []
         self.is_up = True
-        self.on_restart = lambda: None
+        self.on_restart = None
         self._crash = None
 
     async def send(self, call):
@@ -93,7 +101,7 @@
             announcement=self.announcement,
         )
 
-    async def probe(self):
+    async def is_listening(self):
         return self.is_up
 
     def service_s_of(self, call):
@@ -189,20 +197,31 @@
         routes.offer(Configuration(version=1, routes=fleet.routes))
         runs = LocalRuns()
         levels = LevelsByRoute()
+        directory = TargetDirectory()
+        directory.apply_changes(target_documents(HERE, *fleet.ports))
+        directory.apply_changes(fleet.restarted_targets)
+        self.book = SuspectBook()
+        self.exchange = make_exchange(
+            self.book,
+            self.observer,
+            directory=directory,
+            port=self.port,
+            seed=fleet.seed * 1000 + self.port,
+        )
+        self.exchange.connect(self._send_datagram)
+        suspects = make_suspects(self.observer, self.book, self.exchange)
         gatekeeper = Gatekeeper(
             target=local_target,
             dispatcher=self.target,
             observer=self.observer,
             runs=runs,
+            suspects=suspects,
             load_reporter=LoadReporter(
                 version=lambda: 1, runs=runs, levels=levels
             ),
             on_target_leaving=lambda: None,
         )
         peers = _InMemoryPeers(fleet=fleet, observer=self.observer)
-        directory = TargetDirectory()
-        directory.apply_changes(target_documents(HERE, *fleet.ports))
-        directory.apply_changes(fleet.restarted_targets)
         self._directory = directory
         selector = TargetSelector(
             directory=directory,
@@ -238,13 +257,31 @@
             ),
             observer=self.observer,
             runs=runs,
+            suspects=suspects,
             levels=levels,
         )
         self.gatekeeper = gatekeeper
         self.is_running = True
+        self._rounds = asyncio.ensure_future(self._run_rounds(self.exchange))
 
     def stop(self):
         self.is_running = False
+        self._rounds.cancel()
+
+    def receive_datagram(self, datagram, source):
+        """Receive a datagram unless the node is down."""
+        if self.is_running:
+            self.exchange.receive(decode(datagram), source)
+
+    def _send_datagram(self, message, address):
+        source = Address(host='10.0.0.1', port=self.port)
+        self._fleet.deliver(msgspec.json.encode(message), source, address)
+
+    async def _run_rounds(self, exchange):
+        exchange.ask_at_start()
+        while True:
+            exchange.run_round()
+            await asyncio.sleep(1)
 
     def update_targets(self, documents):
         """Apply changed entries to the directory."""
@@ -303,6 +340,10 @@
         )
         self.ports = tuple(range(1, nodes + 1))
         self.restarted_targets = []
+        self.loss = 0
+        self.cut_ports = frozenset()
+        self.datagram_bytes = 0
+        self._network_rng = seeded(seed=seed + 1)
         self.by_port = {}
         for port in self.ports:
             target = SimulatedTarget(service_s=service_s)
@@ -329,6 +370,18 @@
             tasks.append(asyncio.ensure_future(self._ask(node, attempt, route)))
         await asyncio.gather(*tasks)
 
+    def deliver(self, datagram, source, address):
+        """Deliver a datagram after a while, unless it gets lost."""
+        self.datagram_bytes += len(datagram)
+        is_cut = {source.port, address.port} & self.cut_ports
+        if is_cut or self._network_rng.random() < self.loss:
+            return
+        node = self.by_port[address.port]
+        delay_s = self._network_rng.uniform(*_DELAYS_S)
+        asyncio.get_running_loop().call_later(
+            delay_s, node.receive_datagram, datagram, source
+        )
+
     def target_restarted(self, node):
         """Tell all nodes of the new start of a node's target."""
         document = target_document(
@@ -340,6 +393,7 @@
                 place=HERE,
                 node=Address(host='10.0.0.1', port=node.port),
                 slots=node.target.slots,
+                gossip_port=node.port,
             ),
             revision=node.started_ms,
         )
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -33,12 +33,12 @@
 
 
 class TestCrashOfTheTarget:
-    """Connections that end while the target accepts none."""
+    """Connections that end while the target does not listen."""
 
     def test_all_calls_in_progress_belong_to_one_crash(self):
         async def scenario():
             setup = GatekeeperSetup(slots=3, reply=_LOST)
-            setup.dispatcher.accepts_connections = False
+            setup.dispatcher.listens = False
             replies = await _lose_answers(setup, 'a', 'b', 'c')
             return _crashes(setup), {reply.head.detail for reply in replies}
 
@@ -49,7 +49,7 @@
     def test_a_call_that_was_just_broken_off_belongs_to_it(self):
         async def scenario():
             setup = GatekeeperSetup(slots=3, reply=_LOST)
-            setup.dispatcher.accepts_connections = False
+            setup.dispatcher.listens = False
             (left,) = setup.start(make_call('left'))
             await settle()
             left.cancel()
@@ -64,7 +64,7 @@
             setup = GatekeeperSetup(slots=3, reply=ANSWERED)
             await _lose_answers(setup, 'answered')
             setup.dispatcher.reply = _LOST
-            setup.dispatcher.accepts_connections = False
+            setup.dispatcher.listens = False
             await _lose_answers(setup, 'a')
             return _crashes(setup)
 
@@ -72,7 +72,7 @@
 
 
 class TestLostAnswer:
-    """A lost answer of a target that still accepts connections."""
+    """A lost answer of a target that still listens."""
 
     def test_is_no_crash(self):
         async def scenario():
--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -8,6 +8,7 @@
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address, Place
 from fescueknot.platform.main import PlatformAdapter
+from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import seeded
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.metrics import NodeMetrics
@@ -19,7 +20,10 @@
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.messages import TargetEntry
-from tests.relay.fakes import RecordingObserver
+from tests.relay.fakes import (
+    RecordingObserver,
+    make_exchange,
+)
 from tools.standin.platform_store import PlatformStoreStandin
 
 _ADAPTER = PlatformAdapter()
@@ -97,6 +101,7 @@
             observer=self.observer,
             metrics=self.metrics,
             rng=self.rng,
+            suspects=make_exchange(SuspectBook(), self.observer),
             on_local_entry_change=self.local_entries.append,
         )
         handler._updates_by_header = self.fleet_sync.updates_by_header()
