Keep requests that are held back in the object store

The nodes beside the crashed targets now write one object for each such request; a node reads them once, at its start, with a stale read.

--- a/fescueknot/quarantine/book.py
+++ b/fescueknot/quarantine/book.py
@@ -1,5 +1,6 @@
 """All evidence that one node has, by fingerprint."""
 
+import collections
 import enum
 import math
 from collections.abc import Iterable, Iterator
@@ -11,6 +12,7 @@
     Evidence,
     TargetStart,
 )
+from fescueknot.quarantine.fingerprint import is_fingerprint
 from fescueknot.quarantine.messages import (
     NEVER_AGE_MS,
     Crash,
@@ -21,7 +23,6 @@
 # Part of the book that is dropped when it is full.
 _DROPPED_FRACTION = 0.25
 _MS_PER_S = 1000
-_HALF_CHECKSUM_BITS = 64
 
 
 class Standing(enum.StrEnum):
@@ -45,7 +46,8 @@
 
     def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
         self._max_fingerprints = max_fingerprints
-        self._evidence: dict[str, Evidence] = {}
+        self._evidence: collections.defaultdict[str, Evidence]
+        self._evidence = collections.defaultdict(Evidence)
 
     def __len__(self) -> int:
         """Return the number of fingerprints."""
@@ -85,7 +87,7 @@
         changed = tuple(
             fingerprint
             for fingerprint in dict.fromkeys(fingerprints)
-            if self._evidence_of(fingerprint).add_crash(start, now_s)
+            if self._evidence[fingerprint].add_crash(start, now_s)
         )
         self._drop_weakest()
         return changed
@@ -131,6 +133,11 @@
             if fingerprint in self._evidence
         )
 
+    def crashed_at(self, fingerprint: str) -> frozenset[TargetStart]:
+        """Return the starts of targets that crashed under a fingerprint."""
+        evidence = self._evidence.get(fingerprint)
+        return frozenset(evidence.crash_times_s if evidence else ())
+
     def digest(self, now_s: float, *, only_held: bool) -> int:
         """Return a checksum of the evidence, equal at nodes that agree."""
         digest = 0
@@ -151,13 +158,10 @@
             if evidence.is_held(now_s) or not only_held:
                 yield fingerprint, evidence
 
-    def _evidence_of(self, fingerprint: str) -> Evidence:
-        return self._evidence.setdefault(fingerprint, Evidence())
-
     def _merge_record(self, record: SuspectRecord, now_s: float) -> bool:
-        if not _is_fingerprint(record.fingerprint):
+        if not is_fingerprint(record.fingerprint):
             return False
-        evidence = self._evidence_of(record.fingerprint)
+        evidence = self._evidence[record.fingerprint]
         changes = [
             evidence.add_crash(
                 (crash.instance, crash.started_ms),
@@ -187,13 +191,6 @@
     return (evidence.crashes, latest_s)
 
 
-def _is_fingerprint(text: str) -> bool:
-    try:
-        return int(text, 16).bit_length() <= _HALF_CHECKSUM_BITS
-    except ValueError:
-        return False
-
-
 def _record(
     fingerprint: str, evidence: Evidence, now_s: float
 ) -> SuspectRecord:
--- a/fescueknot/quarantine/fingerprint.py
+++ b/fescueknot/quarantine/fingerprint.py
@@ -1,11 +1,13 @@
 """Identity of what a request asks for, equal for all its attempts."""
 
 import hashlib
+import re
 
 from fescueknot.httpio.messages import Request
 
 _DIGEST_BYTES = 8
 _LENGTH_BYTES = 8
+_PATTERN = re.compile('[0-9a-f]{16}')
 
 
 def fingerprint_of(request: Request, caller_service: str) -> str:
@@ -25,3 +27,8 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
         digest.update(part)
     return digest.hexdigest()
+
+
+def is_fingerprint(text: str) -> bool:
+    """Return whether a text is a fingerprint."""
+    return _PATTERN.fullmatch(text) is not None
--- a/fescueknot/relay/gauges.py
+++ b/fescueknot/relay/gauges.py
@@ -3,8 +3,11 @@
 import types
 from collections.abc import Callable, Mapping
 
+from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.suspect_requests import SuspectRequests
+from fescueknot.routes.in_force import RoutesInForce
+from fescueknot.targets.directory import TargetDirectory
 
 _Gauges = Mapping[str, Callable[[], float]]
 
@@ -23,6 +26,20 @@
     )
 
 
+def sync_gauges(
+    routes: RoutesInForce, directory: TargetDirectory, fleet_sync: FleetSync
+) -> _Gauges:
+    """Return gauges of what this node knows of the fleet, by name."""
+    return types.MappingProxyType(
+        {
+            'rules_version': lambda: routes.version,
+            'targets_known': lambda: len(directory),
+            'targets_revision': lambda: fleet_sync.revision,
+            'routes_evidence_age_s': fleet_sync.evidence_age_s,
+        }
+    )
+
+
 def suspect_gauges(suspects: SuspectRequests) -> _Gauges:
     """Return gauges of requests that are suspected of crashing targets."""
     return types.MappingProxyType(
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -8,7 +8,6 @@
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
-from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import unseeded
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.attempt_sender import AttemptSender
@@ -17,7 +16,7 @@
 from fescueknot.relay.endpoints import HeartbeatHandler, ReadyHandler
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
-from fescueknot.relay.gauges import gate_gauges, suspect_gauges
+from fescueknot.relay.gauges import gate_gauges, suspect_gauges, sync_gauges
 from fescueknot.relay.graceful_stop import GracefulStop
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
@@ -36,8 +35,7 @@
     SettingsFile,
     parse_address,
 )
-from fescueknot.relay.suspect_exchange import SuspectExchange
-from fescueknot.relay.suspect_requests import SuspectRequests
+from fescueknot.relay.suspect_parts import SuspectParts
 from fescueknot.relay.target_registrar import TargetRegistrar
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
 from fescueknot.routes.in_force import RoutesInForce
@@ -75,20 +73,12 @@
             address=parse_address(settings.target),
             header_names=adapter.header_names,
         )
-        suspect_book = SuspectBook()
-        suspect_exchange = SuspectExchange(
-            book=suspect_book,
-            service=settings.service,
-            local_address=gossip_address(settings),
+        self._suspects = SuspectParts(
+            settings=settings,
             directory=self._directory,
             observer=self._observer,
             rng=rng,
         )
-        self._suspects = SuspectRequests(
-            book=suspect_book,
-            exchange=suspect_exchange,
-            observer=self._observer,
-        )
         self._runs = LocalRuns()
         self._levels = LevelsByRoute()
         self._gatekeeper = Gatekeeper(
@@ -96,13 +86,13 @@
             dispatcher=self._dispatcher,
             observer=self._observer,
             runs=self._runs,
-            suspects=self._suspects,
+            suspects=self._suspects.requests,
             load_reporter=LoadReporter(
                 version=lambda: self._routes.version,
                 runs=self._runs,
                 levels=self._levels,
             ),
-            on_target_leaving=self._target_leaving,
+            on_target_leaving=lambda: self._registrar.publish(),
         )
         self._peers = PeerNodes(
             header_names=adapter.header_names, observer=self._observer
@@ -127,7 +117,7 @@
             observer=self._observer,
             metrics=self._metrics,
             rng=rng,
-            suspects=suspect_exchange,
+            suspects=self._suspects.exchange,
             on_local_entry_change=self._local_entry_changed,
         )
         self._registrar = TargetRegistrar(
@@ -159,7 +149,7 @@
             ),
             observer=self._observer,
             runs=self._runs,
-            suspects=self._suspects,
+            suspects=self._suspects.requests,
             levels=self._levels,
         )
         peer_handler = PeerHandler(
@@ -189,9 +179,11 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        quarantine_store = self._fleet_sync.counted_store('quarantine')
         tasks = [
             loop.create_task(self._synchronise()),
             loop.create_task(self._fleet_sync.publisher.run()),
+            loop.create_task(self._suspects.run_archive(quarantine_store)),
             loop.create_task(self._run_housekeeping()),
         ]
         for task in tasks:
@@ -206,7 +198,6 @@
             self._graceful_stop.run(self._settings.bounds.grace_s)
         )
         stop_task.add_done_callback(self._task_ended)
-        # If the stop fails, the error is logged and the process still ends.
         await asyncio.wait((stop_task,))
         self._observer.note('node.stopped')
         for _ in range(_FINAL_FLUSHES):
@@ -239,13 +230,12 @@
             region=self._settings.region,
         )
         for name, read in (
-            ('rules_version', lambda: self._routes.version),
-            ('targets_known', lambda: len(self._directory)),
-            ('targets_revision', lambda: self._fleet_sync.revision),
-            ('routes_evidence_age_s', self._fleet_sync.evidence_age_s),
+            *sync_gauges(
+                self._routes, self._directory, self._fleet_sync
+            ).items(),
             ('calls_in_progress', self._graceful_stop.in_progress),
             *gate_gauges(self._gatekeeper).items(),
-            *suspect_gauges(self._suspects).items(),
+            *suspect_gauges(self._suspects.requests).items(),
             (
                 'target_connections_opened',
                 lambda: self._dispatcher.connections_opened,
@@ -253,12 +243,15 @@
         ):
             self._metrics.gauge(name, read)
         self._metrics.labelled_gauge(
-            'quarantine_left_s', 'fingerprint', self._suspects.held_left_s
+            'quarantine_left_s',
+            'fingerprint',
+            self._suspects.requests.held_left_s,
         )
 
     def _is_ready(self) -> bool:
-        is_synchronised = self._routes.is_loaded and self._directory.is_loaded
-        return is_synchronised and not self._stop_requested.is_set()
+        if self._stop_requested.is_set():
+            return False
+        return self._routes.is_loaded and self._directory.is_loaded
 
     async def _synchronise(self) -> None:
         """Read the initial state from the store, then keep it up to date."""
@@ -267,9 +260,6 @@
         await self._registrar.start(listed=listed, after_outage=after_outage)
         await self._fleet_sync.run()
 
-    def _target_leaving(self) -> None:
-        self._registrar.publish()
-
     def _local_entry_changed(self, entry: TargetEntry | None) -> None:
         self._registrar.entry_changed(entry)
 
@@ -284,10 +274,9 @@
         except RelaySettingsError as error:
             self._observer.note('node.reload_refused', error=str(error))
             return
-        self._observer.note(
-            'node.reloaded', changed=changed_settings is not None
-        )
-        if changed_settings is not None:
+        is_changed = changed_settings is not None
+        self._observer.note('node.reloaded', changed=is_changed)
+        if is_changed:
             self._settings = changed_settings
             self._target.bounds = leaving_bounds(changed_settings)
 
--- a/fescueknot/relay/suspect_exchange.py
+++ b/fescueknot/relay/suspect_exchange.py
@@ -7,12 +7,14 @@
 """
 
 import asyncio
+import collections
 import random
 import types
 from collections.abc import Callable, Iterable, Iterator
 
 from fescueknot.identity import Address
 from fescueknot.quarantine.book import HeldRequest, SuspectBook
+from fescueknot.quarantine.evidence import TargetStart
 from fescueknot.quarantine.messages import (
     AnySuspectMessage,
     SuspectPush,
@@ -31,6 +33,7 @@
 # Records and their crashes in one datagram, so that it fits into one packet.
 _MAX_PARTS_PER_MESSAGE = 56
 _REQUESTS_AT_START = 3
+_MAX_OWN_CRASHES = 64
 # Answers to a node whose evidence differs. A push is not answered.
 _ANSWER_TYPES = types.MappingProxyType(
     {SuspectRequest: SuspectReply, SuspectReply: SuspectPush}
@@ -41,7 +44,9 @@
     """Merges and spreads the records of a :class:`SuspectBook`.
 
     ``service`` is that of the local target, ``local_address`` the address of
-    this node's gossip port. ``connect`` sets how messages are sent.
+    this node's gossip port. ``connect`` sets how messages are sent. ``on_held``
+    is called with those that begin to be held back and have crashed the local
+    target.
     """
 
     def __init__(
@@ -53,8 +58,10 @@
         directory: TargetDirectory,
         observer: Observer,
         rng: random.Random,
+        on_held: Callable[[tuple[str, ...]], None],
     ) -> None:
         self._book = book
+        self._on_held = on_held
         self._service = service
         self._observer = observer
         self._rng = rng
@@ -67,6 +74,9 @@
         self._push_allowance = PushAllowance()
         self._send: Callable[[AnySuspectMessage, Address], None] | None = None
         self._held: dict[str, HeldRequest] = {}
+        self._own_crashes: collections.deque[TargetStart] = collections.deque(
+            maxlen=_MAX_OWN_CRASHES
+        )
 
     def connect(
         self, send: Callable[[AnySuspectMessage, Address], None]
@@ -74,6 +84,13 @@
         """Set the function that sends a message to an address."""
         self._send = send
 
+    def share_crash(
+        self, start: TargetStart, fingerprints: Iterable[str]
+    ) -> None:
+        """Tell others of evidence from a crash of the local target."""
+        self._own_crashes.append(start)
+        self.share(fingerprints)
+
     def share(self, fingerprints: Iterable[str]) -> None:
         """Tell others of changed evidence."""
         changed = tuple(fingerprints)
@@ -179,6 +196,14 @@
         for fingerprint in self._held.keys() - held.keys():
             self._observer.note('request.released', fingerprint=fingerprint)
         self._held = held
+        own_crashes = frozenset(self._own_crashes)
+        self._on_held(
+            tuple(
+                one
+                for one in newly_held
+                if own_crashes & self._book.crashed_at(one)
+            )
+        )
         return newly_held
 
 
--- a/fescueknot/relay/suspect_requests.py
+++ b/fescueknot/relay/suspect_requests.py
@@ -100,7 +100,7 @@
             fingerprints=sorted(fingerprints),
         )
         changed = self._book.record_crash(start, fingerprints, _now_s())
-        self._exchange.share(changed)
+        self._exchange.share_crash(start, changed)
 
     def _is_suspect(self, call: Call) -> bool:
         if not self._book:
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -8,6 +8,9 @@
 from fescueknot.gossip.documents import Document
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address
+from fescueknot.objectapi.async_store import AsyncObjectStore
+from fescueknot.objectapi.errors import Unavailable
+from fescueknot.objectapi.messages import Listing, StoredObject
 from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import seeded
 from fescueknot.relay.dispatch import Dispatcher
@@ -127,7 +130,14 @@
 
 
 def make_exchange(
-    book, observer, *, directory=None, service='entries', port=1, seed=1
+    book,
+    observer,
+    *,
+    directory=None,
+    service='entries',
+    port=1,
+    seed=1,
+    on_held=None,
 ):
     """Return an exchange that is connected to no network."""
     return SuspectExchange(
@@ -137,6 +147,7 @@
         directory=directory or TargetDirectory(),
         observer=observer,
         rng=seeded(seed=seed),
+        on_held=on_held or [].extend,
     )
 
 
@@ -150,6 +161,41 @@
     )
 
 
+class MemoryStore(AsyncObjectStore):
+    """Stores values; the first calls fail."""
+
+    def __init__(self, *, failures=0):
+        self.values = {}
+        self.failures = failures
+
+    async def list(self, kind, *, stale=False):
+        self._fail()
+        objects = tuple(
+            StoredObject(key=key, value=value, version=1, revision=1)
+            for key, value in self.values.items()
+        )
+        return Listing(objects=objects, revision=1)
+
+    async def put(self, key, value, *, likely_new=False):
+        self._fail()
+        self.values[key] = value
+
+    async def delete(self, key):
+        self._fail()
+        self.values.pop(key)
+
+    async def get(self, key):
+        raise NotImplementedError
+
+    async def watch(self, kind, since_revision, timeout_s, *, stale=False):
+        raise NotImplementedError
+
+    def _fail(self):
+        if self.failures:
+            self.failures -= 1
+            raise Unavailable('down')
+
+
 class GatekeeperSetup:
     """A gatekeeper with its target, a fake dispatcher and an observer."""
 
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -24,6 +24,7 @@
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
 from fescueknot.relay.peers import PeerHandler, PeerNodes
+from fescueknot.relay.quarantine_archive import QuarantineArchive
 from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
@@ -35,6 +36,7 @@
 from fescueknot.targets.messages import Heartbeat, TargetEntry
 from tests.relay.caller_handlers import HEADER_NAMES, HERE
 from tests.relay.fakes import (
+    MemoryStore,
     RecordingObserver,
     make_exchange,
     make_suspects,
@@ -207,6 +209,14 @@
             directory=directory,
             port=self.port,
             seed=fleet.seed * 1000 + self.port,
+            on_held=lambda fingerprints: self.archive.save(fingerprints),
+        )
+        self.archive = QuarantineArchive(
+            store=fleet.store,
+            book=self.book,
+            observer=self.observer,
+            rng=rng,
+            wall_s=asyncio.get_running_loop().time,
         )
         self.exchange.connect(self._send_datagram)
         suspects = make_suspects(self.observer, self.book, self.exchange)
@@ -262,11 +272,15 @@
         )
         self.gatekeeper = gatekeeper
         self.is_running = True
-        self._rounds = asyncio.ensure_future(self._run_rounds(self.exchange))
+        self._tasks = (
+            asyncio.ensure_future(self._run_rounds(self.exchange)),
+            asyncio.ensure_future(self.archive.run()),
+        )
 
     def stop(self):
         self.is_running = False
-        self._rounds.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def receive_datagram(self, datagram, source):
         """Receive a datagram unless the node is down."""
@@ -340,6 +354,7 @@
         )
         self.ports = tuple(range(1, nodes + 1))
         self.restarted_targets = []
+        self.store = MemoryStore()
         self.loss = 0
         self.cut_ports = frozenset()
         self.datagram_bytes = 0
@@ -402,17 +417,21 @@
             other.update_targets((document,))
 
     async def repeat(self, path, *, rate_per_s, duration_s):
-        """Send the same request again and again, each time to any node."""
+        """Send the same request again and again, each time to any node.
+
+        Returns the attempt ids with their responses.
+        """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + duration_s
-        tasks = []
+        tasks = {}
         while loop.time() < end_s:
             await asyncio.sleep(self._rng.expovariate(rate_per_s))
             running = [node for node in self.nodes if node.is_running]
             node = self._rng.choice(running)
-            attempt = f'again-{loop.time():.4f}'
-            tasks.append(asyncio.ensure_future(node.ask(attempt, path=path)))
-        return await asyncio.gather(*tasks)
+            attempt = f'again-{len(tasks)}'
+            tasks[attempt] = asyncio.ensure_future(node.ask(attempt, path=path))
+        responses = await asyncio.gather(*tasks.values())
+        return list(zip(tasks, responses, strict=True))
 
     def served_fraction(self, route=None, from_s=0):
         """Return the fraction of the requests on ``route`` that succeeded.
--- /dev/null
+++ b/tests/relay/test_quarantine_archive.py
@@ -0,0 +1,87 @@
+"""Requests that are held back, kept in the object store."""
+
+import asyncio
+
+import pytest
+
+from fescueknot.quarantine.book import SuspectBook
+from fescueknot.quarantine.evidence import FIRST_HOLD_S
+from fescueknot.randomness import seeded
+from fescueknot.relay.quarantine_archive import (
+    QUARANTINE_KIND,
+    QuarantineArchive,
+)
+from tests.relay.fakes import MemoryStore, RecordingObserver
+from tests.relay.simulated_loop import run_simulated
+
+_DEADLY = 'd' * 16
+
+
+def _crashed_book(now_s):
+    book = SuspectBook()
+    for number in range(3):
+        book.record_crash((f'i-{number}', 1), (_DEADLY,), now_s)
+    return book
+
+
+async def _run_archive(store, book, *, wall_s, save=()):
+    observer = RecordingObserver()
+    archive = QuarantineArchive(
+        store=store,
+        book=book,
+        observer=observer,
+        rng=seeded(seed=1),
+        wall_s=lambda: wall_s,
+    )
+    archive.save(tuple(save))
+    task = asyncio.ensure_future(archive.run())
+    await asyncio.sleep(60)
+    task.cancel()
+    return [event for event, _ in observer.events]
+
+
+async def _saved_store(**kwargs):
+    store = MemoryStore(**kwargs)
+    now_s = asyncio.get_running_loop().time()
+    await _run_archive(
+        store, _crashed_book(now_s), wall_s=1000, save=(_DEADLY,)
+    )
+    return store
+
+
+class TestRestartOfAllNodes:
+    """Nodes that know nothing but what the store holds."""
+
+    # Guards against a request that is forgotten when all nodes are killed.
+    @pytest.mark.parametrize('failures', [0, 4])
+    def test_a_request_is_held_back_for_the_rest_of_its_time(self, failures):
+        async def scenario():
+            store = await _saved_store(failures=failures)
+            store.failures = failures
+            book = SuspectBook()
+            await _run_archive(store, book, wall_s=1100)
+            (held,) = book.held(asyncio.get_running_loop().time())
+            return held
+
+        held = run_simulated(scenario)
+        assert held.fingerprint == _DEADLY
+        assert FIRST_HOLD_S - 230 < held.left_s < FIRST_HOLD_S - 100
+
+    def test_what_is_of_no_use_any_more_is_deleted(self):
+        async def scenario():
+            store = await _saved_store()
+            book = SuspectBook()
+            await _run_archive(store, book, wall_s=1000 + 3 * FIRST_HOLD_S)
+            return store.values, len(book)
+
+        assert run_simulated(scenario) == ({}, 0)
+
+    def test_an_unreadable_object_is_left_out_and_logged(self):
+        async def scenario():
+            store = await _saved_store()
+            store.values[f'{QUARANTINE_KIND}/x'] = '[1'
+            book = SuspectBook()
+            events = await _run_archive(store, book, wall_s=1000)
+            return events, len(book)
+
+        assert run_simulated(scenario) == (['store.quarantine_unreadable'], 1)
