Answer calls that arrive late in a planned stop

Calls of a target were taken until 5.1 s of a grace period of 6 s and cut off without an answer at 5.5 s, those that may not be repeated among them. Root requests were refused from 2.8 s on already.

--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -1,6 +1,7 @@
 """Handler of callers' requests: finds the route and tries targets."""
 
 import asyncio
+import math
 
 from fescueknot.calls import Importance
 from fescueknot.httpio.handler import Handler
@@ -8,6 +9,7 @@
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.call_log import CallLog
 from fescueknot.relay.header_names import HeaderNames
+from fescueknot.relay.intake import Intake, takes
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.messages import (
     FIRST_FAILURE_STATUS,
@@ -63,7 +65,19 @@
         self._runs = runs
         self._suspects = suspects
         self._levels = levels
-        self.refuses_root_requests = False
+        self._intake = Intake.EVERYTHING
+        self._answer_by_s = math.inf
+
+    def limit_intake(
+        self, intake: Intake, answer_by_s: float | None = None
+    ) -> None:
+        """Take fewer requests from now on, as the node stops.
+
+        All that are taken from now on are answered by ``answer_by_s``.
+        """
+        self._intake = intake
+        if answer_by_s is not None:
+            self._answer_by_s = answer_by_s
 
     def limits(self) -> Limits:
         """Return the limits in force."""
@@ -105,9 +119,11 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         remaining_s = self._remaining_s(request, route)
-        expires_s = began_s + min(remaining_s, route.timeout_s)
+        expires_s = min(
+            began_s + min(remaining_s, route.timeout_s), self._answer_by_s
+        )
         lineage = self._lineage(request, route, began_s + remaining_s)
-        if self.refuses_root_requests and not lineage.depth:
+        if not takes(self._intake, lineage, route):
             return not_run_response(_STOPPING_RETRY_AFTER_S)
         if self._should_shed(route, lineage, began_s):
             return self._shed_response(
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -5,6 +5,7 @@
 from fescueknot.httpio.server import Server
 from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.intake import Intake
 
 # During this time each connection is closed after its answer in progress, so
 # that callers move to other nodes. New requests of callers are still relayed.
@@ -14,6 +15,10 @@
 # Part of the grace period that is kept for the last answers.
 _FINAL_ANSWERS_RESERVE_S = 0.9
 _FINAL_ANSWERS_TIMEOUT_S = 0.4
+# Calls that are sent on at the end of the grace period get this time at least.
+_MIN_TIME_OF_CALL_S = 1.0
+# Requests taken late are answered this long before connections are cut.
+_ANSWER_MARGIN_S = 0.1
 _POLL_INTERVAL_S = 0.05
 
 
@@ -41,8 +46,7 @@
         self._caller_server.drain()
         self._peer_server.drain()
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
-        self._caller_handler.refuses_root_requests = True
-        await self._wait_until_idle(deadline_s)
+        await self._finish_requests(deadline_s)
         self._caller_server.stop_listening()
         self._peer_server.stop_listening()
         end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
@@ -56,6 +60,16 @@
             + self._peer_server.requests_in_progress
         )
 
+    async def _finish_requests(self, deadline_s: float) -> None:
+        """Take fewer and fewer requests until idle or until the deadline."""
+        end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
+        self._caller_handler.limit_intake(
+            Intake.REPEATABLE_CALLS, answer_by_s=end_s - _ANSWER_MARGIN_S
+        )
+        await self._wait_until_idle(deadline_s - _MIN_TIME_OF_CALL_S)
+        self._caller_handler.limit_intake(Intake.NOTHING)
+        await self._wait_until_idle(deadline_s)
+
     async def _wait_until_idle(self, deadline_s: float) -> None:
         loop = asyncio.get_running_loop()
         idle_since_s = loop.time()
--- a/tests/relay/caller_handlers.py
+++ b/tests/relay/caller_handlers.py
@@ -124,7 +124,7 @@
     )
 
 
-def make_request(target='/a/1', deadline='5000', **headers):
-    pairs = {'host': 'h', 'attempt-id': 'c1', 'deadline-ms': deadline}
+def make_request(target='/a/1', deadline='5000', attempt='c1', **headers):
+    pairs = {'host': 'h', 'attempt-id': attempt, 'deadline-ms': deadline}
     pairs.update(headers)
     return Request(method='GET', target=target, headers=tuple(pairs.items()))
