--- a/tests/httpio/raw_server.py
+++ b/tests/httpio/raw_server.py
@@ -9,12 +9,14 @@
     """Answers each request head with the next item of ``responses``.
 
     ``None`` closes the connection, ``RESET`` resets it. After the last item,
-    the server reads without answering.
+    the server closes the connection if ``closes``, else it reads without
+    answering.
     """
 
     RESET = b'reset'
 
-    def __init__(self, *responses):
+    def __init__(self, *responses, closes=False):
+        self._closes = closes
         self._responses = list(responses)
         self.heads = []
         self.connections_accepted = 0
@@ -49,4 +51,6 @@
             writer.transport.abort()
         elif response is not None:
             writer.write(response)
+        if self._closes and not self._responses:
+            return False
         return response not in {None, self.RESET}
