Let a success speak for requests that ran at about the same time

When three or more targets crashed together, a common request was at all of them and was held back for 300 s, though it had nothing to do with it: no target ran it any more, so none could clear it.

Gates now keep the fingerprints that succeeded in the last 2 s and do not blame them; a success counts against crashes up to 2 s later, whoever tells of them.

--- a/fescueknot/quarantine/book.py
+++ b/fescueknot/quarantine/book.py
@@ -18,6 +18,7 @@
     Crash,
     SuspectRecord,
 )
+from fescueknot.quarantine.recent_successes import RecentSuccesses
 
 MAX_FINGERPRINTS = 2048
 # Part of the book that is dropped when it is full.
@@ -46,6 +47,7 @@
 
     def __init__(self, *, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
         self._max_fingerprints = max_fingerprints
+        self._successes = RecentSuccesses()
         self._evidence: collections.defaultdict[str, Evidence]
         self._evidence = collections.defaultdict(Evidence)
 
@@ -87,13 +89,15 @@
         changed = tuple(
             fingerprint
             for fingerprint in dict.fromkeys(fingerprints)
-            if self._evidence[fingerprint].add_crash(start, now_s)
+            if self._successes.time_s(fingerprint, now_s) is None
+            and self._evidence[fingerprint].add_crash(start, now_s)
         )
         self._drop_weakest()
         return changed
 
     def record_success(self, fingerprint: str, now_s: float) -> bool:
         """Record an answer of a target; return whether it was a suspect."""
+        self._successes.record(fingerprint, now_s)
         evidence = self._evidence.get(fingerprint)
         if evidence is None or not evidence.crashes:
             return False
@@ -172,6 +176,9 @@
         if record.cleared_age_ms >= 0:
             cleared_at_s = now_s - record.cleared_age_ms / _MS_PER_S
             changes.append(evidence.clear(cleared_at_s))
+        succeeded_s = self._successes.time_s(record.fingerprint, now_s)
+        if succeeded_s is not None and evidence.crashes:
+            changes.append(evidence.clear(succeeded_s))
         return any(changes)
 
     def _drop_weakest(self) -> None:
--- a/fescueknot/quarantine/evidence.py
+++ b/fescueknot/quarantine/evidence.py
@@ -19,6 +19,8 @@
 _HOLD_FACTOR = 4
 # Without a further crash, suspicion is forgotten after this time.
 SUSPICION_S = 600.0
+# A success speaks for the requests that were running at about the same time.
+SUCCESS_WINDOW_S = 2.0
 # Later crashes of one fingerprint replace the oldest beyond this number.
 MAX_CRASHES = 16
 _CHECKSUM_BYTES = 8
@@ -38,8 +40,8 @@
 
     ``crash_times_s`` holds, by start of a target, when it crashed.
     ``cleared_at_s`` is the last time at which a target has answered such a
-    request; the crashes before it don't count. ``checksum`` is the same at
-    all nodes with the same evidence.
+    request; crashes up to :data:`SUCCESS_WINDOW_S` later don't count.
+    ``checksum`` is the same at all nodes with the same evidence.
     """
 
     __slots__ = ('cleared_at_s', 'crash_times_s', 'checksum', 'hold')
@@ -57,7 +59,7 @@
 
     def add_crash(self, start: TargetStart, at_s: float) -> bool:
         """Add a crash; return whether that changed anything."""
-        if at_s <= self.cleared_at_s or start in self.crash_times_s:
+        if not self._counts(at_s) or start in self.crash_times_s:
             return False
         self.crash_times_s[start] = at_s
         if self.crashes > MAX_CRASHES:
@@ -67,13 +69,13 @@
         return True
 
     def clear(self, at_s: float) -> bool:
-        """Drop the crashes up to ``at_s``; return whether it was news."""
+        """Record a success at ``at_s``; return whether it was news."""
         was_cleared = math.isfinite(self.cleared_at_s)
         self.cleared_at_s = max(self.cleared_at_s, at_s)
         remaining = {
             start: crashed_s
             for start, crashed_s in self.crash_times_s.items()
-            if crashed_s > self.cleared_at_s
+            if self._counts(crashed_s)
         }
         has_dropped = len(remaining) < self.crashes
         self.crash_times_s = remaining
@@ -91,6 +93,9 @@
             latest_s + SUSPICION_S, self.hold.until_s + self.hold.duration_s
         )
 
+    def _counts(self, crashed_s: float) -> bool:
+        return crashed_s > self.cleared_at_s + SUCCESS_WINDOW_S
+
     def _update(self) -> None:
         self.hold = _latest_hold(sorted(self.crash_times_s.values()))
         parts = (math.isfinite(self.cleared_at_s), *sorted(self.crash_times_s))
--- a/fescueknot/relay/suspect_requests.py
+++ b/fescueknot/relay/suspect_requests.py
@@ -78,8 +78,6 @@
 
     def record_success(self, call: Call) -> None:
         """Record that the target has answered a call."""
-        if not self._book:
-            return
         fingerprint = _fingerprint_of_call(call)
         before = self._book.standing(fingerprint, _now_s())
         if not self._book.record_success(fingerprint, _now_s()):
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -234,6 +234,26 @@
             assert not quarantined
             assert served >= 0.97 * sent
 
+    # Guards against requests that are held back after a rack is lost.
+    @pytest.mark.parametrize('crashing', [3, 6, 11])
+    def test_targets_that_crash_together_hold_nobody_back(self, crashing):
+        async def scenario(seed):
+            fleet = SimulatedFleet(nodes=12, seed=seed, service_s=0.1)
+            load = asyncio.gather(
+                fleet.repeat('/normal/common', rate_per_s=60, duration_s=12),
+                fleet.offer(rate_per_s=100, duration_s=12),
+            )
+            await asyncio.sleep(4)
+            for node in fleet.nodes[:crashing]:
+                node.target.crash()
+            await load
+            return self._quarantined(fleet), fleet.served_fraction(from_s=9)
+
+        for seed in _SEEDS:
+            quarantined, served = run_simulated(scenario, seed)
+            assert not quarantined
+            assert served >= 0.99
+
 
 class TestCost:
     """Messages between nodes about suspects."""
