--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -35,7 +35,12 @@
 
     async def ask(self) -> int:
         """Send one request; return the status, 0 without an answer."""
-        idempotent = self._rng.choice((True, False))
+        return await self.send(
+            b'{}', idempotent=self._rng.choice((True, False))
+        )
+
+    async def send(self, body: bytes, *, idempotent: bool) -> int:
+        """Send a request; return the status, 0 without an answer."""
         attempt = f'{self._rng.getrandbits(64):016x}@{self._node.service}'
         path = 'read' if idempotent else 'post'
         request = Request(
@@ -47,7 +52,7 @@
                 (HEADERS.remaining_ms, str(_PATIENCE_MS)),
                 (HEADERS.caller_service, 'forged'),
             ),
-            body=b'{}',
+            body=body,
         )
         self._promises.sent(
             attempt, idempotent=idempotent, node=self._node.name
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from tools.soak.announcements import AnnouncementChecks, Origin
+from tools.soak.deadly import DeadlyRequests
 
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
@@ -29,6 +30,7 @@
 
     def __init__(self, *, drain_s: float) -> None:
         self.announcements = AnnouncementChecks(drain_s=drain_s)
+        self.deadly = DeadlyRequests()
         self.broken: list[str] = []
         self.served = 0
         self.answered = 0
@@ -44,14 +46,18 @@
         if not idempotent:
             self._at_most_once.add(attempt)
 
-    def arrived(self, attempt: str, instance: str) -> None:
-        """Take note of a request that reaches a target."""
+    def arrived(
+        self, attempt: str, instance: str, body: bytes, node: str
+    ) -> None:
+        """Take note of a request that reaches the target beside ``node``."""
         now_s = asyncio.get_running_loop().time()
-        breach = self.announcements.breach(
-            self._origins[attempt], instance, now_s
-        )
-        if breach:
-            self._break(f'{attempt}: {breach}')
+        origin = self._origins[attempt]
+        for breach in (
+            self.announcements.breach(origin, instance, now_s),
+            self.deadly.breach(body, (origin.node, node), now_s),
+        ):
+            if breach:
+                self._break(f'{attempt}: {breach}')
 
     def ran(
         self, attempt: str, *, caller: str, wanted: str, left_for_s: float
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -33,21 +33,34 @@
         self.mode = Mode.CLEAR
         self.address = target
         self._target = target
+        self._server: asyncio.Server | None = None
         self._pairs: set[tuple[asyncio.StreamWriter, ...]] = set()
 
     async def start(self) -> Address:
         """Listen on a free port and return the address."""
-        server = await asyncio.start_server(self._carry, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
+        await self._listen(0)
+        port = self._server.sockets[0].getsockname()[1]
         self.address = Address(host='127.0.0.1', port=port)
         return self.address
 
+    async def crash(self, down_s: float) -> None:
+        """Reset all connections and refuse new ones for a while."""
+        self._server.close()
+        self.reset()
+        await asyncio.sleep(down_s)
+        await self._listen(self.address.port)
+
     def reset(self) -> None:
         """Reset all connections."""
         for pair in tuple(self._pairs):
             for writer in pair:
                 writer.transport.abort()
 
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(
+            self._carry, '127.0.0.1', port
+        )
+
     async def _carry(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -28,14 +29,18 @@
         self,
         *,
         service: str,
+        node_name: str,
         drain_s: float,
         promises: Promises,
         rng: random.Random,
     ) -> None:
         self.service = service
+        self.node_name = node_name
         self.address = Address(host='127.0.0.1', port=0)
         self.instance = ''
         self.lose_answers = float(0)
+        self.on_crash: Callable[[], None] | None = None
+        self.is_down = False
         self._drain_s = drain_s
         self._promises = promises
         self._rng = rng
@@ -85,7 +90,7 @@
             address=node, settings=ClientSettings(connect_timeout_s=0.3)
         )
         while True:
-            if self._left_s is None:
+            if self._left_s is None and not self.is_down:
                 await self._beat(known_as)
             await asyncio.sleep(_BEAT_S)
 
@@ -104,9 +109,12 @@
             headers = (echo, (HEADERS.instance, self.instance))
             return Response(status=421, headers=headers)
         instance = self.instance
-        self._promises.arrived(attempt, instance)
+        self._promises.arrived(attempt, instance, request.body, self.node_name)
         self._note(request, attempt)
         await asyncio.sleep(self._rng.uniform(0, 2 * _WORK_S))
+        if self._promises.deadly.is_deadly(request.body):
+            self._crash_under(request.body, instance)
+            return None
         if self._rng.random() < self.lose_answers:
             return None
         signed = (HEADERS.signature, instance)
@@ -116,6 +124,13 @@
             body=attempt.encode(),
         )
 
+    def _crash_under(self, body: bytes, instance: str) -> None:
+        if self.is_down or instance != self.instance:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._promises.deadly.crashed(body, now_s)
+        self.on_crash()
+
     def _announcements(self) -> Headers:
         announced = []
         if self._rate_limit_per_s is not None:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -21,6 +21,7 @@
 DRAIN_S = 4
 _GRACE_S = 4
 _READY_S = 90
+_DOWN_S = 2.0
 # Reads that may be stale show what the store had then.
 _STALE_S = 1.0
 # Seeds that run side by side take other ports; none of them is one that the
@@ -68,14 +69,18 @@
         """Let callers send requests."""
         for node in self.nodes:
             for _ in range(_CALLERS_PER_NODE):
-                caller = SoakCaller(
-                    node=node, promises=self.promises, rng=self.rng
-                )
+                caller = self.caller_of(node)
                 self._tasks.append(asyncio.ensure_future(caller.run()))
 
     def excuse(self, node: SoakNode) -> None:
         """Forget what a node was told; it was killed, stopped or paused."""
         self.promises.announcements.excuse(node.name)
+        now_s = asyncio.get_running_loop().time()
+        self.promises.deadly.excuse(node.name, now_s)
+
+    def caller_of(self, node: SoakNode) -> SoakCaller:
+        """Return another caller of a node."""
+        return SoakCaller(node=node, promises=self.promises, rng=self.rng)
 
     def change_configuration(self) -> None:
         """Write a new version."""
@@ -85,7 +90,7 @@
     async def until_all_serve(self) -> None:
         """Wait until each node has served a few requests in a row."""
         for node in self.nodes:
-            caller = SoakCaller(node=node, promises=self.promises, rng=self.rng)
+            caller = self.caller_of(node)
             in_a_row = 0
             while in_a_row < 5:
                 status = await caller.ask()
@@ -102,6 +107,7 @@
     async def _add(self, name: str, service: str, store: Address) -> None:
         target = SoakTarget(
             service=service,
+            node_name=name,
             drain_s=DRAIN_S,
             promises=self.promises,
             rng=self.rng,
@@ -121,9 +127,21 @@
         node.start()
         beats = target.announce(node.port('heartbeats'), node.target.address)
         self._tasks.append(asyncio.ensure_future(beats))
+        target.on_crash = lambda: self._crash(node, target)
         self.nodes.append(node)
         self.targets.append(target)
 
+    def _crash(self, node: SoakNode, target: SoakTarget) -> None:
+        """Let a target crash and come back as a new start."""
+        crash = asyncio.ensure_future(self._come_back(node, target))
+        self._tasks.append(crash)
+
+    async def _come_back(self, node: SoakNode, target: SoakTarget) -> None:
+        target.is_down = True
+        await node.target.crash(_DOWN_S)
+        target.renew()
+        target.is_down = False
+
     def _fault(self, error: BaseException) -> None:
         self.promises.broken.append(f'the stand-in failed: {error!r}')
 
