Name the parts around crashing requests in the field's terms

The messages are crash evidence, so that they are not taken for the requests that are suspected; tests and soak say crashing. No change of behaviour.

--- a/fescueknot/quarantine/messages.py
+++ b/fescueknot/quarantine/messages.py
@@ -30,7 +30,7 @@
     cleared_age_ms: int = NEVER_AGE_MS
 
 
-class SuspectMessage(
+class CrashEvidenceMessage(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True
 ):
     """Base of the messages, each in one datagram.
@@ -45,16 +45,22 @@
     records: tuple[SuspectRecord, ...] = ()
 
 
-class SuspectRequest(SuspectMessage, frozen=True, kw_only=True, tag='sq'):
+class CrashEvidenceRequest(
+    CrashEvidenceMessage, frozen=True, kw_only=True, tag='sq'
+):
     """Requests a reply if the receiver's records differ."""
 
 
-class SuspectReply(SuspectMessage, frozen=True, kw_only=True, tag='sa'):
+class CrashEvidenceReply(
+    CrashEvidenceMessage, frozen=True, kw_only=True, tag='sa'
+):
     """Records of a node that differ from the requester's."""
 
 
-class SuspectPush(SuspectMessage, frozen=True, kw_only=True, tag='sp'):
+class CrashEvidencePush(
+    CrashEvidenceMessage, frozen=True, kw_only=True, tag='sp'
+):
     """Records that may be new to the receiver."""
 
 
-AnySuspectMessage = SuspectRequest | SuspectReply | SuspectPush
+AnyCrashEvidence = CrashEvidenceRequest | CrashEvidenceReply | CrashEvidencePush
--- a/fescueknot/relay/gossip_port.py
+++ b/fescueknot/relay/gossip_port.py
@@ -9,9 +9,9 @@
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.packing import pack, unpack
 from fescueknot.identity import Address
-from fescueknot.quarantine.messages import AnySuspectMessage
+from fescueknot.quarantine.messages import AnyCrashEvidence
 
-AnyDatagram = AnyMessage | AnySuspectMessage
+AnyDatagram = AnyMessage | AnyCrashEvidence
 _DECODER = msgspec.json.Decoder(AnyDatagram)
 
 
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -9,7 +9,7 @@
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.protocol import GossipProtocol
 from fescueknot.identity import Address
-from fescueknot.quarantine.messages import SuspectMessage
+from fescueknot.quarantine.messages import CrashEvidenceMessage
 from fescueknot.relay.gossip_port import AnyDatagram, GossipPort
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.suspect_exchange import SuspectExchange
@@ -114,7 +114,7 @@
             self._port.send(question, peer.address)
 
     def _receive(self, message: AnyDatagram, source: Address) -> None:
-        if isinstance(message, SuspectMessage):
+        if isinstance(message, CrashEvidenceMessage):
             self._suspects.receive(message, source)
         else:
             self._receive_documents(message, source)
--- a/fescueknot/relay/suspect_exchange.py
+++ b/fescueknot/relay/suspect_exchange.py
@@ -16,11 +16,11 @@
 from fescueknot.quarantine.book import HeldRequest, SuspectBook
 from fescueknot.quarantine.evidence import TargetStart
 from fescueknot.quarantine.messages import (
-    AnySuspectMessage,
-    SuspectPush,
+    AnyCrashEvidence,
+    CrashEvidencePush,
+    CrashEvidenceReply,
+    CrashEvidenceRequest,
     SuspectRecord,
-    SuspectReply,
-    SuspectRequest,
 )
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.suspect_peers import PushAllowance, SuspectPeers
@@ -38,7 +38,10 @@
 _MAX_OWN_CRASHES = 64
 # Answers to a node whose evidence differs. A push is not answered.
 _ANSWER_TYPES = types.MappingProxyType(
-    {SuspectRequest: SuspectReply, SuspectReply: SuspectPush}
+    {
+        CrashEvidenceRequest: CrashEvidenceReply,
+        CrashEvidenceReply: CrashEvidencePush,
+    }
 )
 
 
@@ -74,14 +77,14 @@
             rng=rng,
         )
         self._push_allowance = PushAllowance()
-        self._send: Callable[[AnySuspectMessage, Address], None] | None = None
+        self._send: Callable[[AnyCrashEvidence, Address], None] | None = None
         self._held: dict[str, HeldRequest] = {}
         self._own_crashes: collections.deque[TargetStart] = collections.deque(
             maxlen=_MAX_OWN_CRASHES
         )
 
     def connect(
-        self, send: Callable[[AnySuspectMessage, Address], None]
+        self, send: Callable[[AnyCrashEvidence, Address], None]
     ) -> None:
         """Set the function that sends a message to an address."""
         self._send = send
@@ -103,7 +106,7 @@
     def ask_at_start(self) -> None:
         """Ask several nodes for what they know."""
         for peer in self._peers.of_service(_REQUESTS_AT_START):
-            self._send_to(self._message(SuspectRequest), peer)
+            self._send_to(self._message(CrashEvidenceRequest), peer)
 
     def run_round(self) -> None:
         """Compare the evidence with another node's; call about every second.
@@ -118,9 +121,9 @@
         if self._held:
             peers += self._peers.of_fleet(1)
         for peer in peers:
-            self._send_to(self._message(SuspectRequest), peer)
+            self._send_to(self._message(CrashEvidenceRequest), peer)
 
-    def receive(self, message: AnySuspectMessage, source: Address) -> None:
+    def receive(self, message: AnyCrashEvidence, source: Address) -> None:
         """Merge a message's records; answer and pass on as needed."""
         changed = self._book.merge(message.records, _now_s())
         if changed:
@@ -135,14 +138,14 @@
             records = self._records_for(message)
             self._send_to(self._message(answer_type, records), source)
 
-    def _agrees_with(self, message: AnySuspectMessage) -> bool:
+    def _agrees_with(self, message: AnyCrashEvidence) -> bool:
         """Return whether the sender has the same evidence."""
         if message.service == self._service:
             return message.digest == self._digest(only_held=False)
         return message.held_digest == self._digest(only_held=True)
 
     def _records_for(
-        self, message: AnySuspectMessage
+        self, message: AnyCrashEvidence
     ) -> tuple[SuspectRecord, ...]:
         """Return the most important records, and a few others by chance."""
         only_held = message.service != self._service
@@ -160,16 +163,16 @@
     ) -> None:
         records = self._book.records_of(fingerprints, _now_s())
         for chunk in _in_datagrams(records):
-            push = self._message(SuspectPush, chunk)
+            push = self._message(CrashEvidencePush, chunk)
             for peer in peers:
                 if self._push_allowance.take(_now_s()):
                     self._send_to(push, peer)
 
     def _message(
         self,
-        message_type: Callable[..., AnySuspectMessage],
+        message_type: Callable[..., AnyCrashEvidence],
         records: tuple[SuspectRecord, ...] = (),
-    ) -> AnySuspectMessage:
+    ) -> AnyCrashEvidence:
         return message_type(
             service=self._service,
             digest=self._digest(only_held=False),
@@ -180,7 +183,7 @@
     def _digest(self, *, only_held: bool) -> int:
         return self._book.digest(_now_s(), only_held=only_held)
 
-    def _send_to(self, message: AnySuspectMessage, peer: Address) -> None:
+    def _send_to(self, message: AnyCrashEvidence, peer: Address) -> None:
         if self._send is not None:
             self._send(message, peer)
 
--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -14,7 +14,7 @@
 )
 from fescueknot.quarantine.messages import Crash, SuspectRecord
 
-_DEADLY = 'd' * 16
+_CRASHING = 'd' * 16
 _OTHER = 'a' * 16
 
 
@@ -22,7 +22,7 @@
     return ((f'i-{number}', number) for number in itertools.count(1))
 
 
-def _crash(book, times_s, fingerprint=_DEADLY, starts=None):
+def _crash(book, times_s, fingerprint=_CRASHING, starts=None):
     for start, at_s in zip(starts or _starts(), times_s, strict=False):
         book.record_crash(start, (fingerprint,), at_s)
 
@@ -33,7 +33,7 @@
 
 
 def _age_of_hold(book, now_s):
-    held = book.held_request(_DEADLY, now_s)
+    held = book.held_request(_CRASHING, now_s)
     return round(held.left_s, 3) if held else None
 
 
@@ -52,42 +52,42 @@
     def test_follows_from_the_number_of_crashes(self, crashes, standing):
         book = SuspectBook()
         _crash(book, range(crashes))
-        assert book.standing(_DEADLY, 10) is standing
+        assert book.standing(_CRASHING, 10) is standing
 
     def test_one_crash_counts_once_however_often_it_is_told(self):
         book = SuspectBook()
         for at_s in range(5):
-            book.record_crash(('i-1', 1), (_DEADLY,), at_s)
-        assert book.standing(_DEADLY, 5) is Standing.CLEAR
+            book.record_crash(('i-1', 1), (_CRASHING,), at_s)
+        assert book.standing(_CRASHING, 5) is Standing.CLEAR
 
     # Guards against a common request that is blamed for others' crashes.
     def test_a_success_between_crashes_clears(self):
         book = SuspectBook()
         starts = _starts()
         _crash(book, (0, 1), starts=starts)
-        assert book.record_success(_DEADLY, 2)
+        assert book.record_success(_CRASHING, 2)
         _crash(book, (5, 6), starts=starts)
-        assert book.standing(_DEADLY, 7) is Standing.SUSPECTED
+        assert book.standing(_CRASHING, 7) is Standing.SUSPECTED
 
     # Guards against a common request that is at targets that crash together.
     def test_a_success_shortly_before_crashes_speaks_for_a_request(self):
         book, other = SuspectBook(), SuspectBook()
-        other.record_success(_DEADLY, 9.5)
+        other.record_success(_CRASHING, 9.5)
         _crash(book, (10, 10, 10))
         other.merge(_all_records(book, 10), 10)
         book.merge(_all_records(other, 10), 10)
         for one in (book, other):
-            assert one.standing(_DEADLY, 10) is Standing.CLEAR
+            assert one.standing(_CRASHING, 10) is Standing.CLEAR
 
     def test_a_success_long_before_does_not(self):
         book = SuspectBook()
-        book.record_success(_DEADLY, 1)
+        book.record_success(_CRASHING, 1)
         _crash(book, (10, 10, 10))
-        assert book.standing(_DEADLY, 10) is Standing.QUARANTINED
+        assert book.standing(_CRASHING, 10) is Standing.QUARANTINED
 
     def test_a_success_without_evidence_leaves_none(self):
         book = SuspectBook()
-        assert not book.record_success(_DEADLY, 1)
+        assert not book.record_success(_CRASHING, 1)
         assert not book
 
 
@@ -107,7 +107,7 @@
         now_s = 2
         for _ in range(6):
             now_s += _age_of_hold(book, now_s)
-            assert book.standing(_DEADLY, now_s) is Standing.SUSPECTED
+            assert book.standing(_CRASHING, now_s) is Standing.SUSPECTED
             _crash(book, (now_s,), starts=starts)
             durations_s.append(_age_of_hold(book, now_s))
         assert durations_s == [1200, 4800, 19_200, 21_600, 21_600, 21_600]
@@ -118,7 +118,7 @@
         _crash(book, (0, 1, 2))
         _crash(book, (0,), fingerprint=_OTHER)
         book.prune(SUSPICION_S)
-        assert book.standing(_DEADLY, SUSPICION_S) is Standing.SUSPECTED
+        assert book.standing(_CRASHING, SUSPICION_S) is Standing.SUSPECTED
         assert len(book) == 1
         book.prune(2 + 2 * FIRST_HOLD_S)
         assert not book
@@ -134,7 +134,7 @@
             fingerprint = f'{number:016x}'
             book.record_crash((f'j-{number}', 1), (fingerprint,), number)
             assert len(book) <= 64
-        assert book.standing(_DEADLY, 1) is Standing.QUARANTINED
+        assert book.standing(_CRASHING, 1) is Standing.QUARANTINED
 
     def test_crashes_of_one_fingerprint_are_bounded(self):
         book = SuspectBook()
@@ -146,7 +146,7 @@
 _MERGED = st.lists(
     st.builds(
         SuspectRecord,
-        fingerprint=st.sampled_from((_DEADLY, _OTHER)),
+        fingerprint=st.sampled_from((_CRASHING, _OTHER)),
         crashes=st.lists(
             st.builds(
                 Crash,
@@ -177,7 +177,7 @@
         assert books[0].digest(10, only_held=False) == books[1].digest(
             10, only_held=False
         )
-        for fingerprint in (_DEADLY, _OTHER):
+        for fingerprint in (_CRASHING, _OTHER):
             assert books[0].standing(fingerprint, 10) == books[1].standing(
                 fingerprint, 10
             )
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -63,7 +63,7 @@
     """Answers after ``service_s`` with its current announcement.
 
     ``arrivals`` holds the time and the attempt id of each request,
-    ``deadly_arrivals`` the times of those whose path is in ``deadly_paths``.
+    ``crashing_arrivals`` the times of those whose path is in ``crashing_paths``.
     Such a request crashes the target ``crash_after_s`` after its arrival. A
     crashed target is down for ``down_s``; then ``on_restart`` is called.
     """
@@ -76,8 +76,8 @@
         self.slots = slots
         self.announcement = Announcement()
         self.arrivals = []
-        self.deadly_paths = frozenset()
-        self.deadly_arrivals = []
+        self.crashing_paths = frozenset()
+        self.crashing_arrivals = []
         self.crashed_at_s = []
         self.is_up = True
         self.on_restart = None
@@ -88,8 +88,8 @@
         if not self.is_up:
             return _NO_CONNECTION
         self.arrivals.append((loop.time(), call.head.attempt))
-        if call.request.target in self.deadly_paths:
-            self.deadly_arrivals.append(loop.time())
+        if call.request.target in self.crashing_paths:
+            self.crashing_arrivals.append(loop.time())
             loop.call_later(self.crash_after_s, self.crash)
         if self._crash is None:
             self._crash = loop.create_future()
@@ -107,9 +107,9 @@
         return self.is_up
 
     def service_s_of(self, call):
-        """Return the service time; a deadly request does not get an answer."""
-        is_deadly = call.request.target in self.deadly_paths
-        return self.service_s + is_deadly * 2 * self.crash_after_s
+        """Return the service time; a crashing request does not get an answer."""
+        is_crashing = call.request.target in self.crashing_paths
+        return self.service_s + is_crashing * 2 * self.crash_after_s
 
     def crash(self):
         """End all connections and accept none for ``down_s``."""
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -8,7 +8,7 @@
 from tests.relay.simulated_loop import run_simulated
 
 _SEEDS = (1, 2, 3)
-_DEADLY_PATH = '/normal/deadly'
+_CRASHING_PATH = '/normal/crashing'
 # From this long after the third crash the bound holds.
 _STABLE_S = 3
 _MAX_LATER_ARRIVALS = 3
@@ -16,15 +16,9 @@
 _RECOVERED_S = 7
 
 
-def _make_deadly(fleet, *paths):
+def _make_crashing(fleet, *paths):
     for node in fleet.nodes:
-        node.target.deadly_paths = frozenset(paths)
-
-
-def _arrivals_s(fleet):
-    return sorted(
-        at_s for node in fleet.nodes for at_s in node.target.deadly_arrivals
-    )
+        node.target.crashing_paths = frozenset(paths)
 
 
 def _third_crash_s(fleet):
@@ -34,17 +28,27 @@
     return sorted(crashes)[2]
 
 
-async def _offer_deadly(fleet, *, rate_per_s, duration_s, per_node_s=10):
+def _late_arrivals(fleet):
+    """Return the arrivals beyond the time in which news travels."""
+    bound_from_s = _third_crash_s(fleet) + _STABLE_S
+    return sum(
+        at_s > bound_from_s
+        for node in fleet.nodes
+        for at_s in node.target.crashing_arrivals
+    )
+
+
+async def _offer_crashing(fleet, *, rate_per_s, duration_s, per_node_s=10):
     load = fleet.offer(
         rate_per_s=len(fleet.nodes) * per_node_s, duration_s=duration_s
     )
-    deadly = fleet.repeat(
-        _DEADLY_PATH, rate_per_s=rate_per_s, duration_s=duration_s
+    crashing = fleet.repeat(
+        _CRASHING_PATH, rate_per_s=rate_per_s, duration_s=duration_s
     )
-    return await asyncio.gather(load, deadly)
+    return await asyncio.gather(load, crashing)
 
 
-class TestDeadlyRequest:
+class TestCrashingRequest:
     """One request that comes again and again, at any node."""
 
     # Guards against a request that crashes one target after the other.
@@ -56,10 +60,9 @@
     ):
         async def scenario(seed):
             fleet = SimulatedFleet(nodes=nodes, seed=seed)
-            _make_deadly(fleet, _DEADLY_PATH)
-            await _offer_deadly(fleet, rate_per_s=rate_per_s, duration_s=25)
-            bound_from_s = _third_crash_s(fleet) + _STABLE_S
-            return sum(at_s > bound_from_s for at_s in _arrivals_s(fleet))
+            _make_crashing(fleet, _CRASHING_PATH)
+            await _offer_crashing(fleet, rate_per_s=rate_per_s, duration_s=25)
+            return _late_arrivals(fleet)
 
         later = [run_simulated(scenario, seed) for seed in _SEEDS]
         assert max(later) <= _MAX_LATER_ARRIVALS
@@ -67,8 +70,8 @@
     def test_others_are_served_once_it_is_held_back(self):
         async def scenario(seed):
             fleet = SimulatedFleet(nodes=6, seed=seed)
-            _make_deadly(fleet, _DEADLY_PATH)
-            await _offer_deadly(fleet, rate_per_s=3, duration_s=20)
+            _make_crashing(fleet, _CRASHING_PATH)
+            await _offer_crashing(fleet, rate_per_s=3, duration_s=20)
             recovered_s = _third_crash_s(fleet) + _RECOVERED_S
             return (
                 fleet.served_fraction(),
@@ -83,8 +86,8 @@
     def test_refusals_are_true_and_say_when_it_may_run_again(self):
         async def scenario(seed):
             fleet = SimulatedFleet(nodes=6, seed=seed)
-            _make_deadly(fleet, _DEADLY_PATH)
-            _, responses = await _offer_deadly(
+            _make_crashing(fleet, _CRASHING_PATH)
+            _, responses = await _offer_crashing(
                 fleet, rate_per_s=3, duration_s=20
             )
             arrived = {
@@ -110,14 +113,13 @@
     async def _later_arrivals(self, seed, trouble, *, nodes=12, **network):
         fleet = SimulatedFleet(nodes=nodes, seed=seed)
         fleet.loss = network.get('loss', 0)
-        _make_deadly(fleet, _DEADLY_PATH)
+        _make_crashing(fleet, _CRASHING_PATH)
         load = asyncio.ensure_future(
-            _offer_deadly(fleet, rate_per_s=3, duration_s=25)
+            _offer_crashing(fleet, rate_per_s=3, duration_s=25)
         )
         await trouble(fleet)
         await load
-        bound_from_s = _third_crash_s(fleet) + _STABLE_S
-        return sum(at_s > bound_from_s for at_s in _arrivals_s(fleet))
+        return _late_arrivals(fleet)
 
     # Guards against a node that starts anew and knows nothing.
     @pytest.mark.parametrize('share', [0.1, 0.6])
@@ -144,9 +146,9 @@
     def test_all_nodes_are_killed_at_once_twice(self, rate_per_s):
         async def scenario(seed):
             fleet = SimulatedFleet(nodes=12, seed=seed)
-            _make_deadly(fleet, _DEADLY_PATH)
+            _make_crashing(fleet, _CRASHING_PATH)
             load = asyncio.ensure_future(
-                _offer_deadly(fleet, rate_per_s=rate_per_s, duration_s=25)
+                _offer_crashing(fleet, rate_per_s=rate_per_s, duration_s=25)
             )
             for _ in range(2):
                 await asyncio.sleep(8)
@@ -154,8 +156,7 @@
                     node.stop()
                     node.start()
             await load
-            bound_from_s = _third_crash_s(fleet) + _STABLE_S
-            return sum(at_s > bound_from_s for at_s in _arrivals_s(fleet))
+            return _late_arrivals(fleet)
 
         later = [run_simulated(scenario, seed) for seed in _SEEDS]
         assert max(later) <= _MAX_LATER_ARRIVALS
@@ -174,9 +175,9 @@
     def test_a_node_that_was_cut_off_learns_it_in_time(self):
         async def scenario(seed):
             fleet = SimulatedFleet(nodes=12, seed=seed)
-            _make_deadly(fleet, _DEADLY_PATH)
+            _make_crashing(fleet, _CRASHING_PATH)
             fleet.cut_ports = frozenset((1, 2))
-            await fleet.repeat(_DEADLY_PATH, rate_per_s=5, duration_s=5)
+            await fleet.repeat(_CRASHING_PATH, rate_per_s=5, duration_s=5)
             fleet.cut_ports = frozenset()
             await asyncio.sleep(_STABLE_S)
             return [len(node.book.held(8)) for node in fleet.nodes]
@@ -272,8 +273,8 @@
     def test_what_each_node_sends_is_bounded(self, nodes):
         async def scenario():
             fleet = SimulatedFleet(nodes=nodes)
-            _make_deadly(fleet, _DEADLY_PATH)
-            await _offer_deadly(
+            _make_crashing(fleet, _CRASHING_PATH)
+            await _offer_crashing(
                 fleet, rate_per_s=3, duration_s=20, per_node_s=5
             )
             return fleet.datagram_bytes / nodes / 20
--- a/tests/relay/test_quarantine_archive.py
+++ b/tests/relay/test_quarantine_archive.py
@@ -14,13 +14,13 @@
 from tests.relay.fakes import MemoryStore, RecordingObserver
 from tests.relay.simulated_loop import run_simulated
 
-_DEADLY = 'd' * 16
+_CRASHING = 'd' * 16
 
 
 def _crashed_book(now_s):
     book = SuspectBook()
     for number in range(3):
-        book.record_crash((f'i-{number}', 1), (_DEADLY,), now_s)
+        book.record_crash((f'i-{number}', 1), (_CRASHING,), now_s)
     return book
 
 
@@ -44,7 +44,7 @@
     store = MemoryStore(**kwargs)
     now_s = asyncio.get_running_loop().time()
     await _run_archive(
-        store, _crashed_book(now_s), wall_s=1000, save=(_DEADLY,)
+        store, _crashed_book(now_s), wall_s=1000, save=(_CRASHING,)
     )
     return store
 
@@ -64,7 +64,7 @@
             return held
 
         held = run_simulated(scenario)
-        assert held.fingerprint == _DEADLY
+        assert held.fingerprint == _CRASHING
         assert FIRST_HOLD_S - 230 < held.left_s < FIRST_HOLD_S - 100
 
     def test_what_is_of_no_use_any_more_is_deleted(self):
--- a/tools/soak/deadly.py
+++ b/tools/soak/crashing_requests.py
@@ -17,7 +17,7 @@
 _MAX_PAUSE_S = 0.3
 
 
-class _Deadly:
+class _Record:
     """Crashes and late arrivals of one request."""
 
     def __init__(self) -> None:
@@ -26,29 +26,29 @@
         self.late = 0
 
 
-class DeadlyRequests:
-    """The deadly requests of a run, by body."""
+class CrashingRequests:
+    """The crashing requests of a run, by body."""
 
     def __init__(self) -> None:
-        self._by_body: dict[bytes, _Deadly] = {}
+        self._by_body: dict[bytes, _Record] = {}
         self._excused_at_s: dict[str, float] = {}
 
     def add(self, rng: random.Random) -> bytes:
-        """Return the body of a new deadly request."""
-        body = f'deadly {rng.getrandbits(_BODY_BITS):x}'.encode()
-        self._by_body[body] = _Deadly()
+        """Return the body of a new crashing request."""
+        body = f'crashing {rng.getrandbits(_BODY_BITS):x}'.encode()
+        self._by_body[body] = _Record()
         return body
 
-    def is_deadly(self, body: bytes) -> bool:
+    def is_crashing(self, body: bytes) -> bool:
         """Return whether a request with this body crashes its target."""
         return body in self._by_body
 
     def crashed(self, body: bytes, now_s: float) -> None:
         """Record that a target has crashed under a request."""
-        deadly = self._by_body[body]
-        deadly.crashes += 1
-        if deadly.crashes == _CRASHES:
-            deadly.bound_from_s = now_s + _STABLE_S
+        record = self._by_body[body]
+        record.crashes += 1
+        if record.crashes == _CRASHES:
+            record.bound_from_s = now_s + _STABLE_S
 
     def excuse(self, node: str, now_s: float) -> None:
         """Record that a node was killed, stopped or paused."""
@@ -59,28 +59,28 @@
 
         ``nodes`` are those that have passed the request on.
         """
-        deadly = self._by_body.get(body)
-        if deadly is None or now_s <= deadly.bound_from_s:
+        record = self._by_body.get(body)
+        if record is None or now_s <= record.bound_from_s:
             return ''
         if any(self._is_excused(node, now_s) for node in nodes):
             return ''
-        deadly.late += 1
-        if deadly.late <= _MAX_LATER_ARRIVALS:
+        record.late += 1
+        if record.late <= _MAX_LATER_ARRIVALS:
             return ''
-        return f'it had crashed {deadly.crashes} targets, {deadly.late} late'
+        return f'it had crashed {record.crashes} targets, {record.late} late'
 
     def _is_excused(self, node: str, now_s: float) -> bool:
         excused_at_s = self._excused_at_s.get(node, -math.inf)
         return now_s - excused_at_s < _STABLE_S
 
 
-async def deadly_request(world: 'World', index: int) -> None:
+async def crashing_request(world: 'World', index: int) -> None:
     """Send a request that crashes targets again and again, to any node.
 
     All come from nodes of one service and ask for the same.
     """
     loop = asyncio.get_running_loop()
-    body = world.promises.deadly.add(world.rng)
+    body = world.promises.crashing.add(world.rng)
     idempotent = world.rng.choice((True, False))
     service = world.nodes[index].service
     nodes = [node for node in world.nodes if node.service == service]
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from tools.soak.deadly import deadly_request
+from tools.soak.crashing_requests import crashing_request
 from tools.soak.node import SoakNode
 from tools.soak.proxy import Mode, Proxy
 from tools.soak.target import SoakTarget
@@ -151,5 +151,5 @@
     release,
     limit,
     leave_by_answers,
-    deadly_request,
+    crashing_request,
 )
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tools.soak.announcements import AnnouncementChecks, Origin
-from tools.soak.deadly import DeadlyRequests
+from tools.soak.crashing_requests import CrashingRequests
 
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
@@ -30,7 +30,7 @@
 
     def __init__(self, *, drain_s: float) -> None:
         self.announcements = AnnouncementChecks(drain_s=drain_s)
-        self.deadly = DeadlyRequests()
+        self.crashing = CrashingRequests()
         self.broken: list[str] = []
         self.served = 0
         self.answered = 0
@@ -54,7 +54,7 @@
         origin = self._origins[attempt]
         for breach in (
             self.announcements.breach(origin, instance, now_s),
-            self.deadly.breach(body, (origin.node, node), now_s),
+            self.crashing.breach(body, (origin.node, node), now_s),
         ):
             if breach:
                 self._break(f'{attempt}: {breach}')
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -112,7 +112,7 @@
         self._promises.arrived(attempt, instance, request.body, self.node_name)
         self._note(request, attempt)
         await asyncio.sleep(self._rng.uniform(0, 2 * _WORK_S))
-        if self._promises.deadly.is_deadly(request.body):
+        if self._promises.crashing.is_crashing(request.body):
             self._crash_under(request.body, instance)
             return None
         if self._rng.random() < self.lose_answers:
@@ -128,7 +128,7 @@
         if self.is_down or instance != self.instance:
             return
         now_s = asyncio.get_running_loop().time()
-        self._promises.deadly.crashed(body, now_s)
+        self._promises.crashing.crashed(body, now_s)
         self.on_crash()
 
     def _announcements(self) -> Headers:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -76,7 +76,7 @@
         """Forget what a node was told; it was killed, stopped or paused."""
         self.promises.announcements.excuse(node.name)
         now_s = asyncio.get_running_loop().time()
-        self.promises.deadly.excuse(node.name, now_s)
+        self.promises.crashing.excuse(node.name, now_s)
 
     def caller_of(self, node: SoakNode) -> SoakCaller:
         """Return another caller of a node."""
