--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -63,7 +63,7 @@
     """Answers after ``service_s`` with its current announcement.
 
     ``arrivals`` holds the time and the attempt id of each request,
-    ``crashing_arrivals`` the times of those whose path is in ``crashing_paths``.
+    ``crashing_arrivals`` the times of those with a path in ``crashing_paths``.
     Such a request crashes the target ``crash_after_s`` after its arrival. A
     crashed target is down for ``down_s``; then ``on_restart`` is called.
     """
@@ -107,7 +107,7 @@
         return self.is_up
 
     def service_s_of(self, call):
-        """Return the service time; a crashing request does not get an answer."""
+        """Return the service time; a crashing request gets no answer."""
         is_crashing = call.request.target in self.crashing_paths
         return self.service_s + is_crashing * 2 * self.crash_after_s
 
