Keep fingerprints of calls that were broken off, not their bodies

The gate kept up to 256 calls with their bodies for as long as no newer ones came, so what it remembered was bounded in number and not in bytes.

--- a/fescueknot/relay/crash_watch.py
+++ b/fescueknot/relay/crash_watch.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Awaitable, Callable
 
+from fescueknot.quarantine.fingerprint import fingerprint_of
 from fescueknot.relay.messages import Call
 
 # A call that was broken off may still run at the target for this time.
@@ -20,19 +21,19 @@
     """Keeps the calls at the target, and checks it when answers are lost.
 
     ``is_listening`` returns whether the target's process listens. ``on_crash``
-    is called with the calls that were at the target when it crashed.
+    is called with the fingerprints of the calls that it had when it crashed.
     """
 
     def __init__(
         self,
         *,
         is_listening: Callable[[], Awaitable[bool]],
-        on_crash: Callable[[tuple[Call, ...]], None],
+        on_crash: Callable[[tuple[str, ...]], None],
     ) -> None:
         self._is_listening = is_listening
         self._on_crash = on_crash
         self._running: dict[str, Call] = {}
-        self._broken_off: collections.deque[tuple[float, Call]] = (
+        self._broken_off: collections.deque[tuple[float, str]] = (
             collections.deque(maxlen=_MAX_BROKEN_OFF)
         )
         self._check: asyncio.Task[bool] | None = None
@@ -49,7 +50,7 @@
         """Record that a call was given up; the target may still run it."""
         self.end(call)
         now_s = asyncio.get_running_loop().time()
-        self._broken_off.append((now_s, call))
+        self._broken_off.append((now_s, fingerprint_of_call(call)))
 
     async def has_crashed(self) -> bool:
         """Return whether the target has crashed, after an answer was lost.
@@ -66,13 +67,20 @@
         finally:
             self._check = None
         if not is_listening:
-            self._on_crash(self._calls_at_target())
+            self._on_crash(self._fingerprints_at_target())
             self._broken_off.clear()
         return not is_listening
 
-    def _calls_at_target(self) -> tuple[Call, ...]:
+    def _fingerprints_at_target(self) -> tuple[str, ...]:
         oldest_s = asyncio.get_running_loop().time() - _BROKEN_OFF_RUN_S
         broken_off = (
-            call for ended_s, call in self._broken_off if ended_s >= oldest_s
+            fingerprint
+            for ended_s, fingerprint in self._broken_off
+            if ended_s >= oldest_s
         )
-        return (*self._running.values(), *broken_off)
+        return (*map(fingerprint_of_call, self._running.values()), *broken_off)
+
+
+def fingerprint_of_call(call: Call) -> str:
+    """Return the fingerprint of the request of a call."""
+    return fingerprint_of(call.request, call.head.caller_service)
--- a/fescueknot/relay/suspect_requests.py
+++ b/fescueknot/relay/suspect_requests.py
@@ -7,12 +7,12 @@
 """
 
 import asyncio
-from collections.abc import Iterable
 
 from fescueknot.httpio.messages import Request
 from fescueknot.quarantine.book import HeldRequest, Standing, SuspectBook
 from fescueknot.quarantine.evidence import TargetStart
 from fescueknot.quarantine.fingerprint import fingerprint_of
+from fescueknot.relay.crash_watch import fingerprint_of_call
 from fescueknot.relay.messages import Call
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.suspect_exchange import SuspectExchange
@@ -78,7 +78,7 @@
 
     def record_success(self, call: Call) -> None:
         """Record that the target has answered a call."""
-        fingerprint = _fingerprint_of_call(call)
+        fingerprint = fingerprint_of_call(call)
         before = self._book.standing(fingerprint, _now_s())
         if not self._book.record_success(fingerprint, _now_s()):
             return
@@ -86,9 +86,10 @@
             self._observer.note('request.cleared', fingerprint=fingerprint)
             self._exchange.share((fingerprint,))
 
-    def record_crash(self, start: TargetStart, calls: Iterable[Call]) -> None:
-        """Record the calls that were at the target when it crashed."""
-        fingerprints = tuple(map(_fingerprint_of_call, calls))
+    def record_crash(
+        self, start: TargetStart, fingerprints: tuple[str, ...]
+    ) -> None:
+        """Record the fingerprints that a target had when it crashed."""
         instance, started_ms = start
         self._observer.note(
             'target.crashed',
@@ -103,14 +104,10 @@
     def _is_suspect(self, call: Call) -> bool:
         if not self._book:
             return False
-        fingerprint = _fingerprint_of_call(call)
+        fingerprint = fingerprint_of_call(call)
         standing = self._book.standing(fingerprint, _now_s())
         return standing is Standing.SUSPECTED
 
 
-def _fingerprint_of_call(call: Call) -> str:
-    return fingerprint_of(call.request, call.head.caller_service)
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/fescueknot/relay/target_sender.py
+++ b/fescueknot/relay/target_sender.py
@@ -104,11 +104,11 @@
         if reply.head.refused_for is RefusedFor.OTHER_TARGET:
             self._target.remove_mismatched(call.head.instance)
 
-    def _target_crashed(self, calls: tuple[Call, ...]) -> None:
+    def _target_crashed(self, fingerprints: tuple[str, ...]) -> None:
         current = self._target.current
         if current is not None:
             start = (current.instance, current.started_ms)
-            self._suspects.record_crash(start, calls)
+            self._suspects.record_crash(start, fingerprints)
 
     def _record_announcement(
         self, head: CallHead, announcement: Announcement
