Write a held request that comes while others are written

Found on reading the diff: a record that was to be saved while the store was writing was dropped from the list with those just written, so it would have been lost with all nodes. The new test failed before and passes now.

--- a/fescueknot/relay/quarantine_archive.py
+++ b/fescueknot/relay/quarantine_archive.py
@@ -105,9 +105,11 @@
 
     async def _save_all(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        records = self._book.records_of(sorted(self._unsaved), now_s)
+        fingerprints = tuple(sorted(self._unsaved))
+        records = self._book.records_of(fingerprints, now_s)
         await asyncio.gather(*map(self._save_record, records))
-        self._unsaved.clear()
+        # More may have come while the store was writing.
+        self._unsaved.difference_update(fingerprints)
 
     async def _save_record(self, record: SuspectRecord) -> None:
         quarantine = StoredQuarantine(
@@ -118,7 +120,6 @@
             msgspec.json.encode(quarantine).decode(),
             likely_new=True,
         )
-        self._unsaved.discard(record.fingerprint)
 
     def _aged_record(
         self, fingerprint: str, quarantine: StoredQuarantine
--- a/tests/relay/test_quarantine_archive.py
+++ b/tests/relay/test_quarantine_archive.py
@@ -15,6 +15,7 @@
 from tests.relay.simulated_loop import run_simulated
 
 _CRASHING = 'd' * 16
+_LATER = 'e' * 16
 
 
 def _crashed_book(now_s):
@@ -85,3 +86,38 @@
             return events, len(book)
 
         assert run_simulated(scenario) == (['store.quarantine_unreadable'], 1)
+
+
+class TestSave:
+    """Requests that begin to be held back while others are written."""
+
+    # Guards against a record that is dropped while the store is busy.
+    def test_one_that_comes_during_a_write_is_written_too(self):
+        async def scenario():
+            now_s = asyncio.get_running_loop().time()
+            book = _crashed_book(now_s)
+            for number in range(3):
+                book.record_crash((f'j-{number}', 1), (_LATER,), now_s)
+            store = MemoryStore()
+            archive = QuarantineArchive(
+                store=store,
+                book=book,
+                observer=RecordingObserver(),
+                rng=seeded(seed=1),
+                wall_s=lambda: 1000,
+            )
+            put = store.put
+
+            async def put_while_another_comes(key, value, **options):
+                await put(key, value, **options)
+                if key.endswith(_CRASHING):
+                    archive.save((_LATER,))
+
+            store.put = put_while_another_comes
+            archive.save((_CRASHING,))
+            task = asyncio.ensure_future(archive.run())
+            await asyncio.sleep(10)
+            task.cancel()
+            return {key.rpartition('/')[2] for key in store.values}
+
+        assert run_simulated(scenario) == {_CRASHING, _LATER}
