Pass the gossip port to the parts that use it

Cause: a test of how changes reach nodes needs a network that it controls; the gossiper made its own UDP socket. Change: the port is an interface (DatagramPort) with the socket as its one implementation; the reader tells whether it follows the store. No logic is changed.

--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -13,6 +13,7 @@
 from fescueknot.objectapi.async_store import AsyncObjectStore
 from fescueknot.objectapi.messages import StoredObject
 from fescueknot.relay.adapter import Adapter
+from fescueknot.relay.gossip_port import DatagramPort
 from fescueknot.relay.gossiper import Gossiper
 from fescueknot.relay.header_names import ROUTES_HEADER, TARGETS_HEADER
 from fescueknot.relay.metrics import NodeMetrics
@@ -52,6 +53,7 @@
         *,
         settings: RelaySettings,
         adapter: Adapter,
+        port: DatagramPort,
         routes: RoutesInForce,
         directory: TargetDirectory,
         selector: TargetSelector,
@@ -72,6 +74,7 @@
         self._replica = Replica(version=lambda: routes.version)
         known_peers = KnownPeers(name=settings.node, place=settings.place)
         self._gossiper = Gossiper(
+            port=port,
             protocol=GossipProtocol(name=settings.node, replica=self._replica),
             known_peers=known_peers,
             directory=directory,
@@ -107,7 +110,7 @@
             count=self._count_store_call,
             evidence=self._replica.evidence,
         )
-        self._reader = StoreReader(
+        self.reader = StoreReader(
             followers=self._followers,
             replica=self._replica,
             known_peers=known_peers,
@@ -164,7 +167,7 @@
             await self._gossiper.listen(
                 parse_address(self._settings.ports.gossip)
             )
-        await self._reader.start()
+        await self.reader.start()
         return self._targets_subscriber.after_outage
 
     async def run(self) -> None:
@@ -172,7 +175,7 @@
         self._gossiper.send_sync_requests()
         await asyncio.gather(
             self._gossiper.run(),
-            self._reader.run(),
+            self.reader.run(),
             self._routes_fetcher.run(),
             self._targets_fetcher.run(),
         )
--- a/fescueknot/relay/gossip_port.py
+++ b/fescueknot/relay/gossip_port.py
@@ -1,7 +1,7 @@
 """Encodes and decodes gossip messages on a datagram socket."""
 
+import abc
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 
@@ -15,23 +15,50 @@
 _DECODER = msgspec.json.Decoder(AnyDatagram)
 
 
-class GossipPort(asyncio.DatagramProtocol):
-    """Sends and receives messages; a message that can't be sent is dropped.
+class DatagramReceiver(abc.ABC):
+    """Receives the messages of other nodes."""
 
-    ``on_message`` is called with each message and the address of its sender,
-    ``on_unreadable`` for each datagram that can't be decoded.
-    """
+    @abc.abstractmethod
+    def receive(self, message: AnyDatagram, source: Address) -> None:
+        """Handle a message of the node at ``source``."""
 
-    def __init__(
-        self,
-        *,
-        on_message: Callable[[AnyDatagram, Address], None],
-        on_unreadable: Callable[[Address, UnreadableMessageError], None],
+    @abc.abstractmethod
+    def receive_unreadable(
+        self, source: Address, error: UnreadableMessageError
     ) -> None:
-        self._on_message = on_message
-        self._on_unreadable = on_unreadable
+        """Handle a datagram that can't be decoded."""
+
+
+class DatagramPort(abc.ABC):
+    """Sends and receives messages; a message that can't be sent is dropped."""
+
+    @abc.abstractmethod
+    async def listen(
+        self, address: Address, receiver: DatagramReceiver
+    ) -> None:
+        """Receive datagrams at an address."""
+
+    @abc.abstractmethod
+    def send(self, message: AnyDatagram, target: Address) -> None:
+        """Send a message once, without waiting for a reply."""
+
+
+class GossipPort(DatagramPort, asyncio.DatagramProtocol):
+    """A port on a UDP socket."""
+
+    def __init__(self) -> None:
+        self._receiver: DatagramReceiver | None = None
         self._transport: asyncio.DatagramTransport | None = None
 
+    async def listen(
+        self, address: Address, receiver: DatagramReceiver
+    ) -> None:
+        """Open the socket."""
+        self._receiver = receiver
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
@@ -42,9 +69,9 @@
         try:
             message = decode(data)
         except UnreadableMessageError as error:
-            self._on_unreadable(source, error)
+            self._receiver.receive_unreadable(source, error)
             return
-        self._on_message(message, source)
+        self._receiver.receive(message, source)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore errors of earlier sends, such as a closed port of a peer."""
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -10,7 +10,11 @@
 from fescueknot.gossip.protocol import GossipProtocol
 from fescueknot.identity import Address
 from fescueknot.quarantine.messages import CrashEvidenceMessage
-from fescueknot.relay.gossip_port import AnyDatagram, GossipPort
+from fescueknot.relay.gossip_port import (
+    AnyDatagram,
+    DatagramPort,
+    DatagramReceiver,
+)
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.targets.directory import TargetDirectory
@@ -22,7 +26,7 @@
 _SYNC_REQUESTS_AT_ONCE = 3
 
 
-class Gossiper:
+class Gossiper(DatagramReceiver):
     """Exchanges the messages of the gossip protocol with known peers.
 
     Both callbacks are called for each message received: ``on_routes_version``
@@ -33,6 +37,7 @@
     def __init__(
         self,
         *,
+        port: DatagramPort,
         protocol: GossipProtocol,
         known_peers: KnownPeers,
         directory: TargetDirectory,
@@ -50,16 +55,27 @@
         self._on_change = on_change
         self._on_routes_version = on_routes_version
         self._suspects = suspects
-        self._port = GossipPort(
-            on_message=self._receive, on_unreadable=self._log_unreadable
-        )
-        suspects.connect(self._port.send)
+        self._port = port
+        suspects.connect(port.send)
         self._push_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address) -> None:
         """Receive datagrams at an address."""
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self._port, local_addr=(address.host, address.port)
+        await self._port.listen(address, self)
+
+    def receive(self, message: AnyDatagram, source: Address) -> None:
+        """Handle a message and answer it."""
+        if isinstance(message, CrashEvidenceMessage):
+            self._suspects.receive(message, source)
+        else:
+            self._receive_documents(message, source)
+
+    def receive_unreadable(
+        self, source: Address, error: UnreadableMessageError
+    ) -> None:
+        """Log a datagram that can't be decoded."""
+        self._observer.note(
+            'gossip.unreadable', source=str(source), error=str(error)
         )
 
     async def run(self) -> None:
@@ -113,12 +129,6 @@
             question = self._protocol.sync_request(now_s=now_s, rng=self._rng)
             self._port.send(question, peer.address)
 
-    def _receive(self, message: AnyDatagram, source: Address) -> None:
-        if isinstance(message, CrashEvidenceMessage):
-            self._suspects.receive(message, source)
-        else:
-            self._receive_documents(message, source)
-
     def _receive_documents(self, message: AnyMessage, source: Address) -> None:
         self._known_peers.record_alive(message.name)
         now_s = asyncio.get_running_loop().time()
@@ -127,10 +137,3 @@
             self._port.send(answer, source)
         self._on_routes_version(message.digest.version, message.name)
         self._on_change()
-
-    def _log_unreadable(
-        self, source: Address, error: UnreadableMessageError
-    ) -> None:
-        self._observer.note(
-            'gossip.unreadable', source=str(source), error=str(error)
-        )
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -17,6 +17,7 @@
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.gauges import gate_gauges, suspect_gauges, sync_gauges
+from fescueknot.relay.gossip_port import GossipPort
 from fescueknot.relay.graceful_stop import GracefulStop
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
@@ -110,6 +111,7 @@
         self._fleet_sync = FleetSync(
             settings=settings,
             adapter=adapter,
+            port=GossipPort(),
             routes=self._routes,
             directory=self._directory,
             selector=self._selector,
--- a/fescueknot/relay/store_reader.py
+++ b/fescueknot/relay/store_reader.py
@@ -45,6 +45,11 @@
         self._following: list[asyncio.Task[None]] = []
         self._reader_checks = 0
 
+    @property
+    def is_following(self) -> bool:
+        """Return whether this node follows the store."""
+        return bool(self._following)
+
     async def start(self) -> None:
         """Read routes and target entries once."""
         sent_s = asyncio.get_running_loop().time()
--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -11,6 +11,7 @@
 from fescueknot.quarantine.book import SuspectBook
 from fescueknot.randomness import seeded
 from fescueknot.relay.fleet_sync import FleetSync
+from fescueknot.relay.gossip_port import GossipPort
 from fescueknot.relay.metrics import NodeMetrics
 from fescueknot.relay.peers import PeerHandler, PeerNodes
 from fescueknot.relay.reachability import Reachability
@@ -94,6 +95,7 @@
         self.fleet_sync = FleetSync(
             settings=settings,
             adapter=_ADAPTER,
+            port=GossipPort(),
             routes=self.routes,
             directory=self.directory,
             selector=self._selector(),
