Log and count what tells why a node's routes are not current

Cause: the hypotheses of the incident could not be told apart: no line says that the evidence of current routes has grown old, that a task has ended, or that a node has heard of a newer version than it has. Change: routes.unconfirmed and routes.confirmed (age, version in force, newest version heard of, whether this node follows the store, nodes known); gauges rules_version_heard and follows_store; node.fault for errors of callbacks and of tasks that nobody awaits; the bound for a change among the settings. No decision is changed. Two parts are split off FleetSync (RoutesStatus, PeerLookup), one off the process (FaultLog).

--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fescueknot.gossip.freshness import FreshnessBounds
 from fescueknot.gossip.known_peers import KnownPeers
 from fescueknot.gossip.protocol import GossipProtocol
 from fescueknot.gossip.replica import Replica
@@ -18,8 +19,10 @@
 from fescueknot.relay.header_names import ROUTES_HEADER, TARGETS_HEADER
 from fescueknot.relay.metrics import NodeMetrics
 from fescueknot.relay.observer import Observer
+from fescueknot.relay.peer_lookup import PeerLookup
 from fescueknot.relay.peers import PeerNodes
 from fescueknot.relay.routes_fetcher import RoutesFetcher
+from fescueknot.relay.routes_status import RoutesStatus
 from fescueknot.relay.settings import RelaySettings, parse_address
 from fescueknot.relay.store_followers import StoreFollowers
 from fescueknot.relay.store_reader import StoreReader
@@ -33,7 +36,6 @@
 from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.relay.targets_fetcher import TargetsFetcher
 from fescueknot.routes.in_force import RoutesInForce
-from fescueknot.routing.messages import Tier
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.messages import TargetEntry
 from fescueknot.targets.publisher import TARGETS_KIND, EntryPublisher
@@ -72,6 +74,15 @@
         self._rng = rng
         self._on_local_entry_change = on_local_entry_change
         self._replica = Replica(version=lambda: routes.version)
+        self._lookup = PeerLookup(directory=directory, place=settings.place)
+        freshness = FreshnessBounds(in_force_s=settings.bounds.in_force_s)
+        self.status = RoutesStatus(
+            max_age_s=freshness.max_age_s,
+            evidence=self._replica.evidence,
+            routes=routes,
+            directory=directory,
+            observer=observer,
+        )
         known_peers = KnownPeers(name=settings.node, place=settings.place)
         self._gossiper = Gossiper(
             port=port,
@@ -110,11 +121,12 @@
             count=self._count_store_call,
             evidence=self._replica.evidence,
         )
-        self.reader = StoreReader(
+        self._reader = StoreReader(
             followers=self._followers,
-            replica=self._replica,
+            evidence=self._replica.evidence,
             known_peers=known_peers,
             gossips=bool(settings.ports.gossip),
+            status=self.status,
             observer=observer,
             rng=rng,
         )
@@ -128,7 +140,7 @@
             routes=routes,
             peers=peers,
             observer=observer,
-            tier_of=self._tier_of,
+            tier_of=self._lookup.tier_of,
             on_applied=self._gossiper.schedule_push,
             read_store=self._read_routes_from_store,
         )
@@ -145,14 +157,6 @@
         """Return the store revision up to which the replica is complete."""
         return self._replica.log.cursor
 
-    def evidence_age_s(self) -> float:
-        """Return the age of the latest evidence that the routes are current.
-
-        Infinite until there is evidence.
-        """
-        now_s = asyncio.get_running_loop().time()
-        return self._replica.evidence.age_s(now_s)
-
     def counted_store(self, reason: str) -> AsyncObjectStore:
         """Return a client of the store that counts its calls by ``reason``."""
         return self._followers.counted_store(reason)
@@ -167,7 +171,7 @@
             await self._gossiper.listen(
                 parse_address(self._settings.ports.gossip)
             )
-        await self.reader.start()
+        await self._reader.start()
         return self._targets_subscriber.after_outage
 
     async def run(self) -> None:
@@ -175,25 +179,20 @@
         self._gossiper.send_sync_requests()
         await asyncio.gather(
             self._gossiper.run(),
-            self.reader.run(),
+            self._reader.run(),
             self._routes_fetcher.run(),
             self._targets_fetcher.run(),
         )
 
-    def record_version(self, version: int, node: Address) -> None:
+    def record_version(self, version: int, node: Address | None) -> None:
         """Record the version of the routes in force at the peer ``node``."""
+        self.status.record_heard(version)
         self._routes_fetcher.record_version(version, node)
 
     def record_version_by_host(self, version: int, host: str) -> None:
-        """Record the version of the routes in force at a peer on ``host``.
-
-        The remote port of an incoming connection is not the peer port of the
-        node that opened it, so the directory is searched for the host.
-        """
+        """Record the version of the routes in force at a peer on ``host``."""
         if version > self._routes.version:
-            addresses = self._directory.addresses()
-            matching = (one for one in addresses if one.host == host)
-            self._routes_fetcher.record_version(version, next(matching, None))
+            self.record_version(version, self._lookup.address_on(host))
 
     def updates_by_header(self) -> dict[str, Callable[[int], msgspec.Struct]]:
         """Return functions that return updates for peers, by request header.
@@ -211,21 +210,12 @@
         """Send questions to peers now, as an entry was found out of date."""
         self._gossiper.send_sync_requests()
 
-    def _tier_of(self, node: Address) -> Tier:
-        entry = self._directory.entry_at(node)
-        if entry is None or entry.place.region != self._settings.region:
-            return Tier.ELSEWHERE
-        same_domain = entry.place == self._settings.place
-        return Tier.FAILURE_DOMAIN if same_domain else Tier.REGION
-
     def _count_store_call(self, reason: str) -> None:
         self._metrics.note('store.call', {'reason': reason})
 
     def _record_peer_version(self, version: int, name: str) -> None:
-        entry = self._directory.entry_of(name)
-        self._routes_fetcher.record_version(
-            version, entry.node if entry else None
-        )
+        if version > self._routes.version:
+            self.record_version(version, self._lookup.address_of(name))
 
     def _read_routes_from_store(self) -> None:
         asyncio.ensure_future(self._followers.routes_now.read())
--- a/fescueknot/relay/gauges.py
+++ b/fescueknot/relay/gauges.py
@@ -33,9 +33,11 @@
     return types.MappingProxyType(
         {
             'rules_version': lambda: routes.version,
+            'rules_version_heard': lambda: fleet_sync.status.newest_heard,
+            'follows_store': lambda: fleet_sync.status.is_following,
             'targets_known': lambda: len(directory),
             'targets_revision': lambda: fleet_sync.revision,
-            'routes_evidence_age_s': fleet_sync.evidence_age_s,
+            'routes_evidence_age_s': fleet_sync.status.age_s,
         }
     )
 
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -14,6 +14,7 @@
 from fescueknot.relay.caller_handler import CallerHandler
 from fescueknot.relay.dispatch import HttpDispatcher
 from fescueknot.relay.endpoints import HeartbeatHandler, ReadyHandler
+from fescueknot.relay.fault_log import FaultLog
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.gauges import gate_gauges, suspect_gauges, sync_gauges
@@ -42,7 +43,6 @@
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LocalTarget
-from fescueknot.targets.messages import TargetEntry
 from fescueknot.telemetry.decision_log import DecisionLog, LineBuffer
 
 # Log lines that are left at the end are flushed several times: the pipe may be
@@ -65,7 +65,14 @@
         )
         self._log = DecisionLog(node=settings.node, buffer=buffer)
         self._metrics = NodeMetrics()
+        self._metrics.describe(
+            node=settings.node,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+        )
         self._observer = LogObserver(log=self._log, metrics=self._metrics)
+        self._faults = FaultLog(observer=self._observer)
         rng = unseeded()
         self._routes = RoutesInForce(rng=rng)
         self._directory = TargetDirectory()
@@ -120,7 +127,9 @@
             metrics=self._metrics,
             rng=rng,
             suspects=self._suspects.exchange,
-            on_local_entry_change=self._local_entry_changed,
+            on_local_entry_change=lambda entry: self._registrar.entry_changed(
+                entry
+            ),
         )
         self._registrar = TargetRegistrar(
             node=settings.node,
@@ -188,6 +197,7 @@
             loop.create_task(self._suspects.run_archive(quarantine_store)),
             loop.create_task(self._run_housekeeping()),
         ]
+        loop.set_exception_handler(self._faults.report_unhandled)
         for task in tasks:
             task.add_done_callback(self._task_ended)
         await self._listen()
@@ -207,7 +217,7 @@
             await asyncio.sleep(_FINAL_FLUSH_INTERVAL_S)
 
     def _server(self, handler: Handler) -> Server:
-        return Server(handler=handler, report_error=self._report_fault)
+        return Server(handler=handler, report_error=self._faults.report)
 
     async def _listen(self) -> None:
         ports = self._settings.ports
@@ -225,12 +235,6 @@
             await metrics_server.listen(host, self._settings.metrics_port)
 
     def _add_gauges(self) -> None:
-        self._metrics.describe(
-            node=self._settings.node,
-            service=self._settings.service,
-            failure_domain=self._settings.failure_domain,
-            region=self._settings.region,
-        )
         for name, read in (
             *sync_gauges(
                 self._routes, self._directory, self._fleet_sync
@@ -262,9 +266,6 @@
         await self._registrar.start(listed=listed, after_outage=after_outage)
         await self._fleet_sync.run()
 
-    def _local_entry_changed(self, entry: TargetEntry | None) -> None:
-        self._registrar.entry_changed(entry)
-
     def _node_changed(self, node: Address, reachable: bool) -> None:
         event = 'target.node_back' if reachable else 'target.node_lost'
         self._observer.note(event, peer=str(node))
@@ -282,12 +283,9 @@
             self._settings = changed_settings
             self._target.bounds = leaving_bounds(changed_settings)
 
-    def _report_fault(self, error: BaseException) -> None:
-        self._observer.note('node.fault', error=repr(error))
-
     def _task_ended(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
-            self._report_fault(task.exception())
+            self._faults.report(task.exception())
             self._stop_requested.set()
 
     async def _run_housekeeping(self) -> None:
--- a/fescueknot/relay/settings.py
+++ b/fescueknot/relay/settings.py
@@ -33,12 +33,14 @@
     """Time limits and the retry budget.
 
     ``drain_s`` limits how long a leaving target accepts late arrivals,
-    ``grace_s`` how long a stop may last. The retry budget applies to the whole
-    fleet.
+    ``grace_s`` how long a stop may last, ``in_force_s`` how long a change of
+    the routes may take to be in force everywhere. The retry budget applies to
+    the whole fleet.
     """
 
     drain_s: float
     grace_s: float
+    in_force_s: float = 2.5
     retry_ratio: float = 0.2
     retry_slack: float = 10
     retry_window_s: float = 10
--- a/fescueknot/relay/store_reader.py
+++ b/fescueknot/relay/store_reader.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 
+from fescueknot.gossip.evidence import FreshnessEvidence
 from fescueknot.gossip.known_peers import KnownPeers
 from fescueknot.gossip.readers import should_read_as_fallback
-from fescueknot.gossip.replica import Replica
 from fescueknot.relay.observer import Observer
+from fescueknot.relay.routes_status import RoutesStatus
 from fescueknot.relay.store_followers import StoreFollowers
 
 _CHECK_INTERVAL_S = 1.0
@@ -30,14 +31,16 @@
         self,
         *,
         followers: StoreFollowers,
-        replica: Replica,
+        evidence: FreshnessEvidence,
         known_peers: KnownPeers,
         gossips: bool,
+        status: RoutesStatus,
         observer: Observer,
         rng: random.Random,
     ) -> None:
+        self._status = status
         self._followers = followers
-        self._replica = replica
+        self._evidence = evidence
         self._known_peers = known_peers
         self._gossips = gossips
         self._observer = observer
@@ -45,18 +48,11 @@
         self._following: list[asyncio.Task[None]] = []
         self._reader_checks = 0
 
-    @property
-    def is_following(self) -> bool:
-        """Return whether this node follows the store."""
-        return bool(self._following)
-
     async def start(self) -> None:
         """Read routes and target entries once."""
         sent_s = asyncio.get_running_loop().time()
         await asyncio.gather(*(one.read() for one in self._followers.initial))
-        self._replica.evidence.record_read(
-            asked_at_s=sent_s - _MAX_STALE_READ_AGE_S
-        )
+        self._evidence.record_read(asked_at_s=sent_s - _MAX_STALE_READ_AGE_S)
 
     async def run(self) -> None:
         """Read the store whenever it is due, until cancelled."""
@@ -69,6 +65,7 @@
                 await self._check(pause_s)
 
     async def _check(self, elapsed_s: float) -> None:
+        self._status.is_confirmed()
         if self._known_peers.is_reader():
             self._reader_checks += 1
         else:
@@ -79,26 +76,23 @@
         elif not self._known_peers.has_others():
             await self._followers.discovery.read()
         elif self._needs_fallback(elapsed_s):
-            self._observer.note('store.fallback', age_s=self._evidence_age_s())
+            self._observer.note('store.fallback', age_s=self._status.age_s())
             await asyncio.gather(
                 *(one.read() for one in self._followers.fallback)
             )
 
     def _needs_fallback(self, elapsed_s: float) -> bool:
         return should_read_as_fallback(
-            age_s=self._evidence_age_s(),
+            age_s=self._status.age_s(),
             elapsed_s=elapsed_s,
             nodes=len(self._known_peers),
             rng=self._rng,
         )
 
-    def _evidence_age_s(self) -> float:
-        now_s = asyncio.get_running_loop().time()
-        return self._replica.evidence.age_s(now_s)
-
     def _start_following(self) -> None:
         if not self._following:
             self._observer.note('store.following', reader=True)
+            self._status.is_following = True
             self._following = [
                 asyncio.ensure_future(one.run())
                 for one in self._followers.continuous
@@ -107,6 +101,7 @@
     def _stop_following(self) -> None:
         if self._following:
             self._observer.note('store.following', reader=False)
+        self._status.is_following = False
         for task in self._following:
             task.cancel()
         self._following = []
