Start tasks again that end by an unexpected error

What callers saw: a route that was changed or added was handled by the old version at the nodes of a failure domain. Cause: the tasks that follow the store were started and not looked at again; one that ended by an error other than the store's own was gone, while the node went on as the domain's reader. Other tasks ended the process instead. Change: a supervisor runs every task that is meant to go on; it logs node.task_ended with the error and starts the work again, with pauses that double; work that was requested before is taken up. A probe of a node that fails in an unexpected way counts as failed. Reloading of settings is a part of its own.

--- a/fescueknot/objectapi/follower.py
+++ b/fescueknot/objectapi/follower.py
@@ -66,7 +66,7 @@
         on_fresh_read: Callable[[float], None] | None = None,
     ) -> None:
         self._store = store
-        self._kind = kind
+        self.kind = kind
         self._subscriber = subscriber
         self._rng = rng
         self._settings = settings or FollowerSettings()
@@ -135,7 +135,7 @@
     async def _list(self) -> int:
         """List the objects; return the revision of the listing."""
         sent_s = asyncio.get_running_loop().time()
-        listing = await self._store.list(self._kind, stale=self._settings.stale)
+        listing = await self._store.list(self.kind, stale=self._settings.stale)
         self._retry_s = self._settings.first_retry_s
         self._subscriber.apply_listing(listing)
         self._report_fresh_read(sent_s)
@@ -143,7 +143,7 @@
 
     async def _watch(self, revision: int) -> WatchBatch:
         return await self._store.watch(
-            self._kind,
+            self.kind,
             revision,
             self._settings.wait_s,
             stale=self._settings.stale,
--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -32,6 +32,7 @@
     DirectoryUpdater,
     document_of,
 )
+from fescueknot.relay.supervisor import Supervisor
 from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.relay.targets_fetcher import TargetsFetcher
@@ -73,6 +74,7 @@
         self._metrics = metrics
         self._rng = rng
         self._on_local_entry_change = on_local_entry_change
+        self._supervisor = Supervisor(observer=observer, rng=rng)
         self._replica = Replica(version=lambda: routes.version)
         self._lookup = PeerLookup(directory=directory, place=settings.place)
         freshness = FreshnessBounds(in_force_s=settings.bounds.in_force_s)
@@ -127,6 +129,7 @@
             known_peers=known_peers,
             gossips=bool(settings.ports.gossip),
             status=self.status,
+            supervisor=self._supervisor,
             observer=observer,
             rng=rng,
         )
@@ -177,11 +180,14 @@
     async def run(self) -> None:
         """Run gossip, store reader and fetchers until cancelled."""
         self._gossiper.send_sync_requests()
+        works = {
+            'gossip': self._gossiper.run,
+            'store reader': self._reader.run,
+            'routes fetcher': self._routes_fetcher.run,
+            'targets fetcher': self._targets_fetcher.run,
+        }
         await asyncio.gather(
-            self._gossiper.run(),
-            self._reader.run(),
-            self._routes_fetcher.run(),
-            self._targets_fetcher.run(),
+            *(self._supervisor.run(name, work) for name, work in works.items())
         )
 
     def record_version(self, version: int, node: Address | None) -> None:
--- a/fescueknot/relay/gossip_port.py
+++ b/fescueknot/relay/gossip_port.py
@@ -53,8 +53,10 @@
     async def listen(
         self, address: Address, receiver: DatagramReceiver
     ) -> None:
-        """Open the socket."""
+        """Open the socket, unless it is open."""
         self._receiver = receiver
+        if self._transport is not None:
+            return
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=(address.host, address.port)
         )
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -32,11 +32,9 @@
 from fescueknot.relay.peers import PeerHandler, PeerNodes
 from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
-from fescueknot.relay.settings import (
-    RelaySettingsError,
-    SettingsFile,
-    parse_address,
-)
+from fescueknot.relay.settings import SettingsFile, parse_address
+from fescueknot.relay.settings_reloader import SettingsReloader
+from fescueknot.relay.supervisor import Supervisor
 from fescueknot.relay.suspect_parts import SuspectParts
 from fescueknot.relay.target_registrar import TargetRegistrar
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
@@ -56,7 +54,6 @@
     """Components of one node and the tasks that run them."""
 
     def __init__(self, *, source: SettingsFile, adapter: Adapter) -> None:
-        self._source = source
         settings = source.current
         self._settings = settings
         buffer = LineBuffer(
@@ -74,9 +71,13 @@
         self._observer = LogObserver(log=self._log, metrics=self._metrics)
         self._faults = FaultLog(observer=self._observer)
         rng = unseeded()
+        self._supervisor = Supervisor(observer=self._observer, rng=rng)
         self._routes = RoutesInForce(rng=rng)
         self._directory = TargetDirectory()
         self._target = LocalTarget(bounds=leaving_bounds(settings))
+        self._reloader = SettingsReloader(
+            source=source, target=self._target, observer=self._observer
+        )
         self._dispatcher = HttpDispatcher(
             address=parse_address(settings.target),
             header_names=adapter.header_names,
@@ -187,19 +188,11 @@
     async def run(self) -> None:
         """Serve until a signal, then stop within the grace period."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._faults.report_unhandled)
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        quarantine_store = self._fleet_sync.counted_store('quarantine')
-        tasks = [
-            loop.create_task(self._synchronise()),
-            loop.create_task(self._fleet_sync.publisher.run()),
-            loop.create_task(self._suspects.run_archive(quarantine_store)),
-            loop.create_task(self._run_housekeeping()),
-        ]
-        loop.set_exception_handler(self._faults.report_unhandled)
-        for task in tasks:
-            task.add_done_callback(self._task_ended)
+        loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
+        self._start_tasks()
         await self._listen()
         self._observer.note('node.started', pid=os.getpid())
         await self._stop_requested.wait()
@@ -207,7 +200,7 @@
             'node.stopping', busy=self._graceful_stop.in_progress()
         )
         stop_task = loop.create_task(
-            self._graceful_stop.run(self._settings.bounds.grace_s)
+            self._graceful_stop.run(self._reloader.current.bounds.grace_s)
         )
         stop_task.add_done_callback(self._task_ended)
         await asyncio.wait((stop_task,))
@@ -216,6 +209,22 @@
             self._log.flush()
             await asyncio.sleep(_FINAL_FLUSH_INTERVAL_S)
 
+    def _start_tasks(self) -> None:
+        """Start the tasks that run until the process ends."""
+        works = {
+            'synchronisation': self._synchronise,
+            'entry publisher': self._fleet_sync.publisher.run,
+            'quarantine archive': self._run_archive,
+            'housekeeping': self._run_housekeeping,
+        }
+        for name, work in works.items():
+            task = self._supervisor.start(name, work)
+            task.add_done_callback(self._task_ended)
+
+    async def _run_archive(self) -> None:
+        store = self._fleet_sync.counted_store('quarantine')
+        await self._suspects.run_archive(store)
+
     def _server(self, handler: Handler) -> Server:
         return Server(handler=handler, report_error=self._faults.report)
 
@@ -270,19 +279,6 @@
         event = 'target.node_back' if reachable else 'target.node_lost'
         self._observer.note(event, peer=str(node))
 
-    def _reload(self) -> None:
-        """Apply changed bounds; addresses apply at the next start only."""
-        try:
-            changed_settings = self._source.reload()
-        except RelaySettingsError as error:
-            self._observer.note('node.reload_refused', error=str(error))
-            return
-        is_changed = changed_settings is not None
-        self._observer.note('node.reloaded', changed=is_changed)
-        if is_changed:
-            self._settings = changed_settings
-            self._target.bounds = leaving_bounds(changed_settings)
-
     def _task_ended(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
             self._faults.report(task.exception())
@@ -295,5 +291,4 @@
             self._peers.prune()
             self._dispatcher.prune(loop.time())
             self._log.flush()
-            if self._source.is_modified():
-                self._reload()
+            self._reloader.reload_if_modified()
--- a/fescueknot/relay/quarantine_archive.py
+++ b/fescueknot/relay/quarantine_archive.py
@@ -63,6 +63,8 @@
     async def run(self) -> None:
         """Read, then write whatever is to be saved; runs until cancelled."""
         await self._until_done(self._load)
+        if self._unsaved:
+            self._save_needed.set()
         while True:
             await self._save_needed.wait()
             self._save_needed.clear()
--- a/fescueknot/relay/reachability.py
+++ b/fescueknot/relay/reachability.py
@@ -59,8 +59,17 @@
         pause_s = self._settings.min_pause_s
         while True:
             await asyncio.sleep(pause_s)
-            if await self._probe(node):
+            if await self._succeeds(node):
                 break
             pause_s = min(self._settings.max_pause_s, pause_s * 2)
         self._unreachable.pop(node, None)
         self._on_change(node, True)
+
+    async def _succeeds(self, node: Address) -> bool:
+        """Probe once; an unexpected error is logged and counts as a failure."""
+        try:
+            return await self._probe(node)
+        except Exception as error:  # noqa: BLE001
+            context = {'message': f'probe of {node}', 'exception': error}
+            asyncio.get_running_loop().call_exception_handler(context)
+            return False
--- a/fescueknot/relay/routes_fetcher.py
+++ b/fescueknot/relay/routes_fetcher.py
@@ -83,6 +83,8 @@
 
     async def run(self) -> None:
         """Fetch whenever a newer version was reported, until cancelled."""
+        if self._sources:
+            self._version_reported.set()
         while True:
             await self._version_reported.wait()
             await self._wait_for_nearer_source()
--- a/fescueknot/relay/store_reader.py
+++ b/fescueknot/relay/store_reader.py
@@ -9,6 +9,7 @@
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.routes_status import RoutesStatus
 from fescueknot.relay.store_followers import StoreFollowers
+from fescueknot.relay.supervisor import Supervisor
 
 _CHECK_INTERVAL_S = 1.0
 # The first listing is a stale read and may be this old. The evidence from it is
@@ -35,10 +36,12 @@
         known_peers: KnownPeers,
         gossips: bool,
         status: RoutesStatus,
+        supervisor: Supervisor,
         observer: Observer,
         rng: random.Random,
     ) -> None:
         self._status = status
+        self._supervisor = supervisor
         self._followers = followers
         self._evidence = evidence
         self._known_peers = known_peers
@@ -94,7 +97,7 @@
             self._observer.note('store.following', reader=True)
             self._status.is_following = True
             self._following = [
-                asyncio.ensure_future(one.run())
+                self._supervisor.start(f'follower of {one.kind}', one.run)
                 for one in self._followers.continuous
             ]
 
--- a/fescueknot/relay/suspect_parts.py
+++ b/fescueknot/relay/suspect_parts.py
@@ -44,13 +44,14 @@
 
     async def run_archive(self, store: AsyncObjectStore) -> None:
         """Keep requests that are held back in ``store``, until cancelled."""
-        self._archive = QuarantineArchive(
-            store=store,
-            book=self._book,
-            observer=self._observer,
-            rng=self._rng,
-            wall_s=time.time,
-        )
+        if self._archive is None:
+            self._archive = QuarantineArchive(
+                store=store,
+                book=self._book,
+                observer=self._observer,
+                rng=self._rng,
+                wall_s=time.time,
+            )
         await self._archive.run()
 
     def _save(self, fingerprints: tuple[str, ...]) -> None:
--- a/fescueknot/targets/publisher.py
+++ b/fescueknot/targets/publisher.py
@@ -71,6 +71,7 @@
     async def run(self) -> None:
         """Write whenever the entries differ; runs until cancelled."""
         retry_s = _FIRST_RETRY_S
+        self._compare()
         while True:
             await self._write_needed.wait()
             self._write_needed.clear()
