Let a node read the store itself before its knowledge is too old

What callers saw: requests on changed or added routes were handled by an older version, at nodes that could reach the store. Cause: a node that nobody told read the store only after 20 s without evidence, while a change has to be in force within 2.5 s; so it depended on its reader (whose watch could hang for 11 s), on peers that answer, and on a fetch. A start put a stale version in force. Class of fault: the bound lay on the usual way and not on the node's own knowledge. Change: evidence older than 0.7 of the bound makes any node read; before that it asks readers; readers' watches end at a quarter of the bound, and their end is evidence; readers with old evidence are passed over; a start waits for a peer or a fresh read; an unreadable configuration gives no evidence.

--- a/fescueknot/gossip/freshness.py
+++ b/fescueknot/gossip/freshness.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+from fescueknot.gossip.evidence import UNKNOWN_AGE_MS
+
+_MS_PER_S = 1000
 # Parts of the bound for a change. The readers' watches are the shortest, so
 # that a node that asks a reader in time gets evidence that lasts.
 _MAX_AGE_RATIO = 0.7
@@ -30,6 +33,10 @@
         """Return the age of evidence at which a node reads the store."""
         return self.in_force_s * _MAX_AGE_RATIO
 
+    def is_fresh_ms(self, age_ms: int) -> bool:
+        """Return whether the age in a message is that of fresh evidence."""
+        return UNKNOWN_AGE_MS < age_ms <= self.max_age_s * _MS_PER_S
+
     @property
     def renew_age_s(self) -> float:
         """Return the age of evidence at which a node asks its peers."""
--- a/fescueknot/gossip/readers.py
+++ b/fescueknot/gossip/readers.py
@@ -1,13 +1,13 @@
 """Selection of the nodes that read the store, without an election.
 
-Nodes are ranked by a hash of their names. The first node of a failure domain
-reads for it, and a region has two readers even if it is a single failure
-domain. Nodes that know different sets of nodes may pick different readers:
-additional readers cost a few reads and do no harm.
+Nodes are ranked by a hash of their names. The first nodes of a failure domain
+read for it, one for every 40 nodes, and a region has two readers even if it is
+a single failure domain. Nodes that know different sets of nodes may pick
+different readers: additional readers cost a few reads and do no harm.
 """
 
 import heapq
-import random
+import math
 import zlib
 from collections.abc import Container, Mapping, Sequence
 
@@ -15,11 +15,8 @@
 
 _READERS_PER_REGION = 2
 _SALT = b'reader/'
-# With older evidence the readers count as unreachable. The time covers a few of
-# their watches and the seconds that gossip takes.
-STALE_S = 20.0
-# Reads of the whole fleet together while all readers are unreachable.
-_FALLBACK_READS_PER_S = 20
+# Nodes that ask one reader for evidence.
+_NODES_PER_READER = 40
 
 
 def reader_rank(name: str) -> int:
@@ -39,25 +36,14 @@
     domains = sum(
         other_place.region == place.region for other_place in names_by_place
     )
-    count = max(1, _READERS_PER_REGION + 1 - max(1, domains))
+    members = len(names_by_place.get(place, ()))
+    count = max(
+        math.ceil(members / _NODES_PER_READER),
+        _READERS_PER_REGION + 1 - max(1, domains),
+    )
     responsive = (
         name
         for name in names_by_place.get(place, ())
         if name not in unresponsive
     )
     return tuple(heapq.nsmallest(count, responsive, key=reader_rank))
-
-
-def should_read_as_fallback(
-    *, age_s: float, elapsed_s: float, nodes: int, rng: random.Random
-) -> bool:
-    """Return whether a node that is no reader reads the store now.
-
-    If the evidence is older than :data:`STALE_S`, every node reads at random,
-    all ``nodes`` together :data:`_FALLBACK_READS_PER_S` times a second.
-    ``elapsed_s`` is the time since this function was last called.
-    """
-    if age_s <= STALE_S:
-        return False
-    probability = _FALLBACK_READS_PER_S * elapsed_s / max(1, nodes)
-    return rng.random() < probability
--- a/fescueknot/objectapi/follower.py
+++ b/fescueknot/objectapi/follower.py
@@ -12,6 +12,9 @@
 from fescueknot.objectapi.errors import Compacted, ObjectApiError
 from fescueknot.objectapi.messages import Change, Listing, WatchBatch
 
+# The store's clock may run faster than the local one by this ratio.
+_CLOCK_DRIFT_RATIO = 0.01
+
 
 class FollowerSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Timing of a follower, in seconds.
@@ -51,8 +54,9 @@
 class Follower:
     """Keeps a subscriber up to date; runs until it is cancelled.
 
-    ``on_fresh_read`` is called after each read that is not stale, with the
-    time of the event loop at which the read was sent.
+    ``on_fresh_read`` is called after each read that is not stale, with a time
+    of the event loop up to which it has shown all changes: that at which the
+    read was sent, or nearly the end of a watch that has waited in vain.
     """
 
     def __init__(
@@ -65,8 +69,8 @@
         settings: FollowerSettings | None = None,
         on_fresh_read: Callable[[float], None] | None = None,
     ) -> None:
-        self._store = store
         self.kind = kind
+        self._store = store
         self._subscriber = subscriber
         self._rng = rng
         self._settings = settings or FollowerSettings()
@@ -102,14 +106,17 @@
 
     async def read(self) -> None:
         """List once; retry until a listing succeeds."""
-        while True:
-            try:
-                await self._list()
-            except ObjectApiError as error:
-                self._subscriber.record_failure(error)
-                await self._back_off()
-            else:
-                return
+        while not await self.try_read():
+            await self._back_off()
+
+    async def try_read(self) -> bool:
+        """List once; return whether that succeeded."""
+        try:
+            await self._list()
+        except ObjectApiError as error:
+            self._subscriber.record_failure(error)
+            return False
+        return True
 
     async def _back_off(self) -> None:
         """Wait before the next attempt: exponential back-off with jitter."""
@@ -129,7 +136,7 @@
                 return
             revision = batch.revision
             self._subscriber.apply_changes(batch.events, revision)
-            self._report_fresh_read(sent_s)
+            self._report_fresh_read(sent_s + self._waited_s(batch, sent_s))
             await self._gather()
 
     async def _list(self) -> int:
@@ -149,6 +156,16 @@
             stale=self._settings.stale,
         )
 
+    def _waited_s(self, batch: WatchBatch, sent_s: float) -> float:
+        """Return how long a watch has seen no change at the store.
+
+        The store ends a watch without events only after the whole wait.
+        """
+        elapsed_s = asyncio.get_running_loop().time() - sent_s
+        if batch.events or elapsed_s < self._settings.wait_s:
+            return 0
+        return self._settings.wait_s * (1 - _CLOCK_DRIFT_RATIO)
+
     def _report_fresh_read(self, sent_s: float) -> None:
         if not self._settings.stale:
             self._on_fresh_read(sent_s)
--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -94,6 +94,8 @@
             observer=observer,
             rng=rng,
             suspects=suspects,
+            status=self.status,
+            freshness=freshness,
             on_change=self._replica_changed,
             on_routes_version=self._record_peer_version,
         )
@@ -119,15 +121,16 @@
                 on_applied=self._gossiper.schedule_push,
             ),
             targets=self._targets_subscriber,
+            watch_s=freshness.watch_s,
             rng=rng,
             count=self._count_store_call,
             evidence=self._replica.evidence,
         )
         self._reader = StoreReader(
             followers=self._followers,
-            evidence=self._replica.evidence,
             known_peers=known_peers,
             gossips=bool(settings.ports.gossip),
+            check_interval_s=freshness.check_interval_s,
             status=self.status,
             supervisor=self._supervisor,
             observer=observer,
@@ -145,7 +148,7 @@
             observer=observer,
             tier_of=self._lookup.tier_of,
             on_applied=self._gossiper.schedule_push,
-            read_store=self._read_routes_from_store,
+            read_store=self._reader.request_read,
         )
         self.publisher = EntryPublisher(
             store=self._followers.counted_store('write'),
@@ -165,7 +168,7 @@
         return self._followers.counted_store(reason)
 
     async def start(self) -> bool:
-        """Listen for gossip, then read routes and entries from the store.
+        """Listen for gossip, then read the entries from the store.
 
         Returns whether calls to the store failed before the entries were
         listed.
@@ -182,6 +185,7 @@
         self._gossiper.send_sync_requests()
         works = {
             'gossip': self._gossiper.run,
+            'renewal of evidence': self._gossiper.renew_evidence,
             'store reader': self._reader.run,
             'routes fetcher': self._routes_fetcher.run,
             'targets fetcher': self._targets_fetcher.run,
@@ -223,9 +227,6 @@
         if version > self._routes.version:
             self.record_version(version, self._lookup.address_of(name))
 
-    def _read_routes_from_store(self) -> None:
-        asyncio.ensure_future(self._followers.routes_now.read())
-
     def _entry_written(self, stored: StoredObject) -> None:
         self._replica.record_write(document_of(stored))
         self._replica_changed()
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from fescueknot.gossip.errors import UnreadableMessageError
+from fescueknot.gossip.freshness import FreshnessBounds
 from fescueknot.gossip.known_peers import GossipPeer, KnownPeers
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.protocol import GossipProtocol
@@ -16,6 +17,7 @@
     DatagramReceiver,
 )
 from fescueknot.relay.observer import Observer
+from fescueknot.relay.routes_status import RoutesStatus
 from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.targets.directory import TargetDirectory
 
@@ -44,6 +46,8 @@
         observer: Observer,
         rng: random.Random,
         suspects: SuspectExchange,
+        status: RoutesStatus,
+        freshness: FreshnessBounds,
         on_change: Callable[[], None],
         on_routes_version: Callable[[int, str], None],
     ) -> None:
@@ -51,6 +55,8 @@
         self._known_peers = known_peers
         self._directory = directory
         self._observer = observer
+        self._status = status
+        self._freshness = freshness
         self._rng = rng
         self._on_change = on_change
         self._on_routes_version = on_routes_version
@@ -78,6 +84,22 @@
             'gossip.unreadable', source=str(source), error=str(error)
         )
 
+    async def renew_evidence(self) -> None:
+        """Ask for evidence whenever it is about to get old, until cancelled.
+
+        Each attempt asks a node of another group, until there is an answer.
+        """
+        attempt = 0
+        while True:
+            interval_s = self._freshness.check_interval_s
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+            if self._status.age_s() <= self._freshness.renew_age_s:
+                attempt = 0
+                continue
+            peer = self._known_peers.next_informed_peer(attempt, self._rng)
+            self._send_request_to(peer)
+            attempt += 1
+
     async def run(self) -> None:
         """Send a question about every second, until cancelled."""
         self._suspects.ask_at_start()
@@ -123,14 +145,19 @@
             self._port.send(push, peer.address)
 
     def _send_sync_request(self) -> None:
-        peer = self._known_peers.next_peer(self._rng)
+        self._send_request_to(self._known_peers.next_peer(self._rng))
+
+    def _send_request_to(self, peer: GossipPeer | None) -> None:
         if peer is not None:
             now_s = asyncio.get_running_loop().time()
             question = self._protocol.sync_request(now_s=now_s, rng=self._rng)
             self._port.send(question, peer.address)
 
     def _receive_documents(self, message: AnyMessage, source: Address) -> None:
-        self._known_peers.record_alive(message.name)
+        self._known_peers.record_alive(
+            message.name,
+            is_informed=self._freshness.is_fresh_ms(message.digest.age_ms),
+        )
         now_s = asyncio.get_running_loop().time()
         answers = self._protocol.receive(message, now_s=now_s, rng=self._rng)
         for answer in answers:
--- a/fescueknot/relay/store_followers.py
+++ b/fescueknot/relay/store_followers.py
@@ -16,9 +16,7 @@
 
 _STALE_READS = FollowerSettings(stale=True)
 _FRESH_READS = FollowerSettings()
-# The end of a watch is evidence that the store answers and that the routes are
-# current, so these watches are shorter than the default.
-_READER_ROUTES = FollowerSettings(wait_s=10)
+_GATHER_ROUTES_S = 0.1
 # Many targets may start or stop at once, so changes are gathered. A stale read
 # is enough: the nodes beside the targets gossip the entries themselves.
 _READER_TARGETS = FollowerSettings(gather_s=0.8, stale=True)
@@ -27,12 +25,11 @@
 class StoreFollowers:
     """Followers of the store, by their purpose.
 
-    ``initial``: routes and target entries, read once at the start of the node.
     ``discovery``: target entries, read to find the other nodes.
-    ``continuous``: routes and target entries, followed by a reader.
-    ``fallback``: routes and target entries, read once by a node whose evidence
-    of the current routes is too old.
-    ``routes_now``: routes, read when they are known to be out of date.
+    ``continuous``: routes and target entries, followed by a reader. A watch of
+    the routes waits ``watch_s``; its end is evidence that they are current.
+    ``routes_now``, ``targets_now``: routes and target entries, read by a node
+    that isn't told of changes, or not in time.
     """
 
     def __init__(
@@ -42,6 +39,7 @@
         address: Address,
         routes: ConfigurationSubscriber,
         targets: DirectorySubscriber,
+        watch_s: float,
         rng: random.Random,
         count: Callable[[str], None],
         evidence: FreshnessEvidence,
@@ -50,22 +48,20 @@
         self._rng = rng
         self._count = count
         self._evidence = evidence
+        self._routes = routes
         self.discovery = self._follower(targets, 'start', _STALE_READS)
-        self.initial = (
-            self._follower(routes, 'start', _STALE_READS),
-            self.discovery,
-        )
         self.continuous = (
-            self._routes_follower(routes, 'follow', _READER_ROUTES),
+            self._routes_follower(
+                routes,
+                'follow',
+                FollowerSettings(wait_s=watch_s, gather_s=_GATHER_ROUTES_S),
+            ),
             self._follower(targets, 'follow', _READER_TARGETS),
         )
         self.routes_now = self._routes_follower(
             routes, 'fallback', _FRESH_READS
         )
-        self.fallback = (
-            self.routes_now,
-            self._follower(targets, 'fallback', _STALE_READS),
-        )
+        self.targets_now = self._follower(targets, 'fallback', _STALE_READS)
 
     def counted_store(self, reason: str) -> AsyncObjectStore:
         """Return a client of the store that counts its calls by ``reason``."""
@@ -98,5 +94,6 @@
         """Return a follower whose answers are evidence of current routes."""
         return self._follower(routes, reason, settings, self._record_evidence)
 
-    def _record_evidence(self, sent_s: float) -> None:
-        self._evidence.record_read(asked_at_s=sent_s)
+    def _record_evidence(self, current_at_s: float) -> None:
+        if self._routes.is_readable:
+            self._evidence.record_read(asked_at_s=current_at_s)
--- a/fescueknot/relay/store_reader.py
+++ b/fescueknot/relay/store_reader.py
@@ -1,105 +1,154 @@
 """Decides when this node reads the store."""
 
 import asyncio
+import contextlib
 import random
 
-from fescueknot.gossip.evidence import FreshnessEvidence
+from fescueknot.gossip.fallback import FallbackSchedule
 from fescueknot.gossip.known_peers import KnownPeers
-from fescueknot.gossip.readers import should_read_as_fallback
+from fescueknot.objectapi.follower import Follower
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.routes_status import RoutesStatus
 from fescueknot.relay.store_followers import StoreFollowers
 from fescueknot.relay.supervisor import Supervisor
 
-_CHECK_INTERVAL_S = 1.0
-# The first listing is a stale read and may be this old. The evidence from it is
-# dated back by as much; a peer's evidence replaces it once it arrives.
-_MAX_STALE_READ_AGE_S = 4.0
-# Checks in a row that must find this node to be a reader before it follows the
-# store: while a fleet starts, each node knows only some of the other nodes.
-_MIN_READER_CHECKS = 3
+# A node follows the store once it was a reader for this long: while a fleet
+# starts, each node knows only some of the other nodes.
+_MIN_READER_S = 1.5
+# A read of all entries is long; the pause before the next one grows with the
+# number of entries.
+_PAUSE_PER_ENTRY_S = 0.005
+_DISCOVERY_PAUSE_S = 1.0
 
 
 class StoreReader:
     """Runs the followers of the store that are due.
 
-    A node reads the store at its start. Later it follows the store if it is a
-    reader of its failure domain or doesn't gossip; another node reads only to
-    discover peers while it knows none, or if its evidence is too old.
+    A node follows the store if it is a reader of its failure domain or doesn't
+    gossip. Every node reads the routes whenever its evidence that they are
+    current is not fresh, or a newer version is known that no peer hands over,
+    and reads the entries then too and while it knows no other node.
     """
 
     def __init__(
         self,
         *,
         followers: StoreFollowers,
-        evidence: FreshnessEvidence,
         known_peers: KnownPeers,
         gossips: bool,
+        check_interval_s: float,
         status: RoutesStatus,
         supervisor: Supervisor,
         observer: Observer,
         rng: random.Random,
     ) -> None:
-        self._status = status
-        self._supervisor = supervisor
         self._followers = followers
-        self._evidence = evidence
         self._known_peers = known_peers
         self._gossips = gossips
+        self._check_interval_s = check_interval_s
+        self._status = status
+        self._supervisor = supervisor
         self._observer = observer
         self._rng = rng
+        self._fallback = FallbackSchedule(rng=rng)
+        self._read_requested = asyncio.Event()
         self._following: list[asyncio.Task[None]] = []
-        self._reader_checks = 0
+        self._reader_since_s: float | None = None
+        self._next_targets_read_s = float(0)
 
     async def start(self) -> None:
-        """Read routes and target entries once."""
-        sent_s = asyncio.get_running_loop().time()
-        await asyncio.gather(*(one.read() for one in self._followers.initial))
-        self._evidence.record_read(asked_at_s=sent_s - _MAX_STALE_READ_AGE_S)
+        """Read the entries once, to find the other nodes.
+
+        The routes are not read: a stale read may show a version older than
+        the one that this node had in force before it was started again.
+        """
+        await self._followers.discovery.read()
+
+    def request_read(self) -> None:
+        """Have the routes read, as a newer version than that here is known."""
+        self._read_requested.set()
 
     async def run(self) -> None:
         """Read the store whenever it is due, until cancelled."""
         if not self._gossips:
             self._start_following()
         while True:
-            pause_s = _CHECK_INTERVAL_S * self._rng.uniform(0.7, 1.3)
-            await asyncio.sleep(pause_s)
-            if self._gossips:
-                await self._check(pause_s)
-
-    async def _check(self, elapsed_s: float) -> None:
-        self._status.is_confirmed()
-        if self._known_peers.is_reader():
-            self._reader_checks += 1
-        else:
-            self._reader_checks = 0
+            await self._pause()
+            self._update_following()
+            await self._read_if_due()
+
+    async def _pause(self) -> None:
+        """Wait for the next check, or until a read is requested."""
+        pause_s = self._check_interval_s * self._rng.uniform(0.7, 1.3)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._read_requested.wait(), pause_s)
+
+    def _update_following(self) -> None:
+        if not self._gossips:
+            return
+        if not self._known_peers.is_reader():
+            self._reader_since_s = None
             self._stop_following()
-        if self._reader_checks >= _MIN_READER_CHECKS:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if self._reader_since_s is None:
+            self._reader_since_s = now_s
+        if now_s - self._reader_since_s >= _MIN_READER_S:
             self._start_following()
+
+    async def _read_if_due(self) -> None:
+        is_requested = self._read_requested.is_set()
+        self._read_requested.clear()
+        if self._status.is_confirmed():
+            self._fallback.reset()
+        elif self._is_fallback_due():
+            is_requested = True
+        if is_requested:
+            await self._read()
         elif not self._known_peers.has_others():
-            await self._followers.discovery.read()
-        elif self._needs_fallback(elapsed_s):
-            self._observer.note('store.fallback', age_s=self._status.age_s())
-            await asyncio.gather(
-                *(one.read() for one in self._followers.fallback)
+            await self._read_targets(
+                _DISCOVERY_PAUSE_S, self._followers.discovery
             )
 
-    def _needs_fallback(self, elapsed_s: float) -> bool:
-        return should_read_as_fallback(
-            age_s=self._status.age_s(),
-            elapsed_s=elapsed_s,
+    def _is_fallback_due(self) -> bool:
+        return self._fallback.is_due(
+            now_s=asyncio.get_running_loop().time(),
             nodes=len(self._known_peers),
-            rng=self._rng,
+            is_alone=self._known_peers.is_cut_off(),
+        )
+
+    async def _read(self) -> None:
+        """Read the routes, and the entries unless they were read just now."""
+        self._observer.note('store.fallback', age_s=self._status.age_s())
+        nodes = len(self._known_peers)
+        succeeded, _ = await asyncio.gather(
+            self._followers.routes_now.try_read(),
+            self._read_targets(
+                nodes * _PAUSE_PER_ENTRY_S, self._followers.targets_now
+            ),
         )
+        now_s = asyncio.get_running_loop().time()
+        if succeeded:
+            self._fallback.record_success(now_s=now_s, nodes=nodes)
+        else:
+            self._fallback.record_failure(now_s=now_s, nodes=nodes)
+
+    async def _read_targets(self, pause_s: float, follower: Follower) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._next_targets_read_s:
+            return
+        self._next_targets_read_s = now_s + pause_s
+        await follower.try_read()
 
     def _start_following(self) -> None:
-        if not self._following:
-            self._observer.note('store.following', reader=True)
-            self._status.is_following = True
-            self._following = [
-                self._supervisor.start(f'follower of {one.kind}', one.run)
-                for one in self._followers.continuous
-            ]
+        if self._following:
+            return
+        self._observer.note('store.following', reader=True)
+        self._status.is_following = True
+        self._following = [
+            self._supervisor.start(f'follower of {one.kind}', one.run)
+            for one in self._followers.continuous
+        ]
 
     def _stop_following(self) -> None:
         if self._following:
--- a/fescueknot/relay/store_subscribers.py
+++ b/fescueknot/relay/store_subscribers.py
@@ -41,6 +41,7 @@
     """Puts the operator's configuration in force.
 
     ``on_applied`` is called after each newer version was put in force.
+    ``is_readable`` is false while the last configuration seen can't be decoded.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         on_applied: Callable[[], None],
     ) -> None:
         super().__init__(kind=adapter.configuration_kind, observer=observer)
+        self.is_readable = True
         self._adapter = adapter
         self._routes = routes
         self._on_applied = on_applied
@@ -75,8 +77,10 @@
         try:
             configuration = self._adapter.configuration(text)
         except UnreadableError as error:
+            self.is_readable = False
             self._observer.note('routes.unreadable', error=str(error))
             return
+        self.is_readable = True
         applied = self._routes.offer(configuration)
         self._observer.note(
             'routes.offered',
--- a/tests/gossip/test_known_peers.py
+++ b/tests/gossip/test_known_peers.py
@@ -6,11 +6,7 @@
 import pytest
 
 from fescueknot.gossip.known_peers import GossipPeer, KnownPeers
-from fescueknot.gossip.readers import (
-    STALE_S,
-    readers_of,
-    should_read_as_fallback,
-)
+from fescueknot.gossip.readers import readers_of
 from fescueknot.identity import Address, Place
 from fescueknot.randomness import seeded
 
@@ -100,34 +96,70 @@
         assert not known_peers.is_reader()
 
 
-class TestFallback:
-    """Reads of nodes that are no readers, while all readers are unreachable."""
+class TestInformedPeers:
+    """Peers that are asked for evidence of the routes."""
 
-    def test_no_reads_while_evidence_is_recent(self):
-        rng = seeded(seed=1)
-        assert not any(
-            should_read_as_fallback(
-                age_s=STALE_S, elapsed_s=9, nodes=1, rng=rng
-            )
-            for _ in range(100)
+    def test_the_first_attempt_goes_to_the_reader_of_the_domain(self):
+        peers = _make_peers()
+        readers = _reader_names(peers)
+        index = next(
+            index
+            for index, peer in enumerate(peers)
+            if peer.name not in readers
         )
+        known_peers = _known_peers_of(peers, index)
+        peer = known_peers.next_informed_peer(0, seeded(seed=1))
+        assert peer.name in readers
+        assert peer.place == peers[index].place
 
-    @pytest.mark.parametrize('nodes', [200, 14_000])
-    def test_reads_per_second_do_not_grow_with_the_fleet(self, nodes):
+    @pytest.mark.parametrize(
+        ('attempt', 'within_region'), [(1, True), (2, False), (9, False)]
+    )
+    def test_later_attempts_go_to_readers_farther_away(
+        self, attempt, within_region
+    ):
+        peers = _make_peers()
+        readers = _reader_names(peers)
+        known_peers = _known_peers_of(peers)
         rng = seeded(seed=1)
-        reads = sum(
-            should_read_as_fallback(
-                age_s=STALE_S + 1, elapsed_s=1, nodes=nodes, rng=rng
-            )
-            for _ in range(nodes * 10)
-        )
-        assert reads / 10 == pytest.approx(20, rel=0.3)
+        asked = []
+        for _ in range(50):
+            asked.append(known_peers.next_informed_peer(attempt, rng))
+            known_peers.record_alive(asked[-1].name)
+        assert {peer.name for peer in asked} <= readers
+        assert peers[0].place not in {peer.place for peer in asked}
+        regions = {peer.place.region for peer in asked}
+        assert (regions == {peers[0].place.region}) is within_region
+
+    def test_a_reader_without_fresh_evidence_is_replaced(self):
+        peers = _make_peers(domains=3, hosts=4)
+        reader = next(iter(_reader_names(peers)))
+        place = next(peer.place for peer in peers if peer.name == reader)
+        replaced = []
+        for index, peer in enumerate(peers):
+            known_peers = _known_peers_of(peers, index)
+            known_peers.record_alive(reader, is_informed=False)
+            if peer.place == place and peer.name != reader:
+                replaced.append(known_peers.is_reader())
+                known_peers.record_alive(reader, is_informed=True)
+                assert not known_peers.is_reader()
+        assert sum(replaced) == 1
+
+    def test_a_large_domain_has_several_readers(self):
+        peers = _make_peers(domains=2, hosts=121)
+        place = peers[0].place
+        names = {place: [peer.name for peer in peers if peer.place == place]}
+        assert len(readers_of(place, names, ())) == 4
 
-    def test_a_single_node_reads_at_once(self):
+    def test_a_node_is_cut_off_until_any_node_is_heard(self):
+        known_peers = _known_peers_of(_make_peers())
         rng = seeded(seed=1)
-        assert should_read_as_fallback(
-            age_s=STALE_S + 1, elapsed_s=1, nodes=1, rng=rng
-        )
+        assert not known_peers.is_cut_off()
+        for attempt in range(3):
+            known_peers.next_informed_peer(attempt, rng)
+        assert known_peers.is_cut_off()
+        known_peers.record_alive('anybody')
+        assert not known_peers.is_cut_off()
 
 
 class TestSampleNearby:
--- a/tests/relay/simulated_sync.py
+++ b/tests/relay/simulated_sync.py
@@ -195,6 +195,20 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
 
+    async def restart(self):
+        """End the process and start another one."""
+        await self.stop()
+        self.observer.events.clear()
+        await self.start()
+
+    def versions_since_start(self):
+        """Return the versions of the routes that were put in force."""
+        return [
+            details['version']
+            for event, details in self.observer.events
+            if event == 'routes.offered' and details['taken']
+        ]
+
     def store_calls(self):
         """Return the number of calls to the store since the start."""
         return sum(
--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -182,6 +182,10 @@
     def readers(self):
         return [node for node in self.nodes if node.store_calls('follow')]
 
+    def is_watched(self):
+        """Return whether a reader has listed and watches both kinds."""
+        return any(node.store_calls('follow') >= 4 for node in self.nodes)
+
     async def wait_until(self, condition):
         while not condition():
             await asyncio.sleep(0.01)
@@ -230,6 +234,8 @@
         async def scenario(fleet):
             fleet.standin.write('config', 'main', _configuration(2))
             await fleet.wait_until(lambda: fleet.all_have_version(2))
+            # A watch that a reader has begun by now still shows changes.
+            await fleet.wait_until(fleet.is_watched)
             fleet.standin.stale_s = 3600
             await fleet.add_node('late')
             await fleet.wait_until(fleet.all_directories_complete)
--- a/tests/relay/test_late_changes.py
+++ b/tests/relay/test_late_changes.py
@@ -156,3 +156,25 @@
             return late
 
         assert not _late_by_seed(play)
+
+    @_with_sizes
+    def test_guards_against_an_older_version_after_a_start(self, nodes):
+        """A stale read must not undo a change on a node that starts again."""
+
+        async def play(seed):
+            fleet = SyncedFleet(nodes=nodes, seed=seed)
+            await fleet.start(_SETTLED_S)
+            fleet.change(2)
+            await asyncio.sleep(BOUND_S)
+            fleet.store.stale_s = 4
+            restarted = fleet.nodes[: nodes // 2]
+            await asyncio.gather(*(node.restart() for node in restarted))
+            await asyncio.sleep(BOUND_S)
+            await fleet.stop()
+            return [
+                node.name
+                for node in restarted
+                if node.versions_since_start() != [2]
+            ]
+
+        assert not _late_by_seed(play)
