Report a connection that is reset while it is opened as not sent

What callers saw: with the store, nodes that stopped following it unseen (no error but the store's own was expected there); with targets and peers, a connection closed without an answer. Cause: a server that resets a connection at once closes the socket before its options are set, and setting them then raises OSError past the handler; so does an address with a port or host that can't exist (OverflowError, ValueError). Change: all of them are NotSentError. Evidence: tests/httpio/test_client.py, five cases, which fail without the change. Found while reading who may stop unseen.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -21,6 +21,8 @@
 from fescueknot.httpio.tcp_options import set_tcp_timeouts
 from fescueknot.identity import Address
 
+# Besides the network's errors, those of a host or port that can't exist.
+_CONNECT_ERRORS = (OSError, TimeoutError, OverflowError, ValueError)
 _KEEP_ALIVE_HEADER = 'keep-alive'
 
 
@@ -272,13 +274,18 @@
             )
         except ConnectionRefusedError as error:
             raise NotListeningError(self._failure_text(error)) from error
-        except (OSError, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             raise NotSentError(self._failure_text(error)) from error
         self.connections_opened += 1
-        set_tcp_timeouts(
-            transport.get_extra_info('socket'),
-            self._settings.unacknowledged_timeout_s,
-        )
+        try:
+            set_tcp_timeouts(
+                transport.get_extra_info('socket'),
+                self._settings.unacknowledged_timeout_s,
+            )
+        except OSError as error:
+            # The server has reset the connection, which closed the socket.
+            connection.close()
+            raise NotSentError(self._failure_text(error)) from error
         return connection
 
     def _failure_text(self, error: Exception) -> str:
--- a/tests/httpio/test_client.py
+++ b/tests/httpio/test_client.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from fescueknot.httpio import client as client_module
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.messages import Request
+from fescueknot.identity import Address
 
 _SPEC = importlib.util.spec_from_file_location(
     'raw_server', pathlib.Path(__file__).with_name('raw_server.py')
@@ -129,6 +131,37 @@
         with pytest.raises(NotSentError):
             _run(scenario)
 
+    def test_guards_against_a_reset_while_connecting(self, monkeypatch):
+        """The socket is closed before its options are set."""
+
+        def fail(sock, unacknowledged_timeout_s):
+            raise OSError(9, 'Bad file descriptor')
+
+        async def scenario():
+            server = await RawServer(_response()).start()
+            monkeypatch.setattr(client_module, 'set_tcp_timeouts', fail)
+            with pytest.raises(NotSentError):
+                await Client(address=server.address).exchange(_REQUEST)
+
+        _run(scenario)
+
+    @pytest.mark.parametrize(
+        'address',
+        [
+            Address(host='127.0.0.1', port=70_000),
+            Address(host='127.0.0.1', port=-1),
+            Address(host='127.0.0.1\0', port=1),
+            Address(host='a' * 70, port=1),
+        ],
+        ids=str,
+    )
+    def test_an_address_that_can_not_exist_raises_not_sent(self, address):
+        async def scenario():
+            with pytest.raises(NotSentError):
+                await Client(address=address).exchange(_REQUEST)
+
+        _run(scenario)
+
     def test_a_cancelled_exchange_closes_its_connection(self):
         async def scenario():
             server = await RawServer().start()
