Let an odd entry or message cost only itself

What callers saw (report of other operators): with one odd entry among those of the targets, nodes ended again and again or stopped following the list. It happened here too. Cause: the decoder raises RecursionError for text that is nested deeply, which no reader expected; a page of a listing failed as a whole; ports, hosts and numbers were not bounded, and failed where they were used; a page of odd entries alone ended the listing early, or for ever.

--- a/fescueknot/cli/ops_client.py
+++ b/fescueknot/cli/ops_client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fescueknot.cli.errors import CommandFailedError
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.identity import Address
 
 _TIMEOUT_S = 5.0
@@ -25,7 +26,7 @@
         """Return the decoded JSON body."""
         try:
             return msgspec.json.decode(self.body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise CommandFailedError(
                 'the body of the response is not JSON'
             ) from error
--- a/fescueknot/cli/trace.py
+++ b/fescueknot/cli/trace.py
@@ -20,6 +20,7 @@
 from fescueknot.cli.fleet_poller import FleetPoller
 from fescueknot.cli.ops_client import OpsClient
 from fescueknot.cli.ops_command import OpsCommand
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.identity import Address
 from fescueknot.telemetry import trace_tree
 from fescueknot.telemetry.spans import Span
@@ -99,5 +100,5 @@
     body = OpsClient(address=address).get(path).body
     try:
         return msgspec.json.decode(body, type=tuple[Span, ...])
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise CommandFailedError(f'the spans are malformed: {error}') from error
--- a/fescueknot/gossip/documents.py
+++ b/fescueknot/gossip/documents.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from fescueknot.decoding import Count
+
 
 class Document(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One object of the store; ``content`` is ``None`` if it was deleted.
@@ -15,9 +17,9 @@
     """
 
     key: str
-    revision: int
+    revision: Count
     content: str | None = None
-    created: int = 0
+    created: Count = 0
 
 
 class Transfer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -31,9 +33,9 @@
     sent a whole copy, since it would miss deletions otherwise.
     """
 
-    after: int
-    upto: int
-    goal: int
+    after: Count
+    upto: Count
+    goal: Count
     documents: tuple[Document, ...] = ()
     is_whole: bool = False
-    floor: int = 0
+    floor: Count = 0
--- a/fescueknot/gossip/freshness.py
+++ b/fescueknot/gossip/freshness.py
@@ -14,8 +14,8 @@
 # Parts of the bound for a change. The readers' watches are the shortest, so
 # that a node that asks a reader in time gets evidence that lasts.
 _MAX_AGE_RATIO = 0.7
-_RENEW_AGE_RATIO = 0.4
-_WATCH_RATIO = 0.25
+_RENEW_AGE_RATIO = 0.5
+_WATCH_RATIO = 0.36
 _CHECK_RATIO = 0.08
 
 
--- a/fescueknot/gossip/messages.py
+++ b/fescueknot/gossip/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fescueknot.decoding import Count, CountOrUnknown, Name
 from fescueknot.gossip.documents import Document, Transfer
 from fescueknot.gossip.evidence import UNKNOWN_AGE_MS
 
@@ -18,10 +19,10 @@
     no evidence.
     """
 
-    cursor: int = 0
-    held: int = 0
-    version: int = 0
-    age_ms: int = UNKNOWN_AGE_MS
+    cursor: Count = 0
+    held: Count = 0
+    version: Count = 0
+    age_ms: CountOrUnknown = UNKNOWN_AGE_MS
 
 
 class Message(
@@ -29,21 +30,21 @@
 ):
     """Base of all gossip messages."""
 
-    name: str
+    name: Name
     digest: Digest
 
 
 class SyncRequest(Message, frozen=True, kw_only=True, tag='q'):
     """Requests what the sender lacks; the reply carries the same ``nonce``."""
 
-    nonce: int
+    nonce: Count
     rumours: tuple[Document, ...] = ()
 
 
 class SyncReply(Message, frozen=True, kw_only=True, tag='a'):
     """What the requester lacks, as far as it fits into a datagram."""
 
-    nonce: int
+    nonce: Count
     transfer: Transfer | None = None
     rumours: tuple[Document, ...] = ()
 
--- a/fescueknot/identity.py
+++ b/fescueknot/identity.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from fescueknot.decoding import Ipv4, Name, Port
+
 
 class Address(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """IP address and TCP or UDP port."""
 
-    host: str
-    port: int
+    host: Ipv4
+    port: Port
 
     def __str__(self) -> str:
         """Return ``host:port``."""
@@ -21,8 +23,8 @@
 class Place(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """Location of a host: a failure domain within a region."""
 
-    region: str
-    failure_domain: str
+    region: Name
+    failure_domain: Name
 
 
 class InstanceId(msgspec.Struct, frozen=True, kw_only=True, order=True):
--- a/fescueknot/membership/bulk.py
+++ b/fescueknot/membership/bulk.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.documents import Transfer
 from fescueknot.identity import Address
 from fescueknot.membership.errors import BulkError
@@ -123,5 +124,5 @@
     """Decode a bulk copy from JSON; raise ``BulkError`` if it is invalid."""
     try:
         return msgspec.json.decode(body, type=Bulk)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise BulkError(str(error)) from error
--- a/fescueknot/membership/codec.py
+++ b/fescueknot/membership/codec.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.errors import PackingError
 from fescueknot.gossip.packing import pack, unpack
 from fescueknot.membership.errors import (
@@ -20,6 +21,7 @@
 
 _DIGEST_BYTES = 12
 _SIGNATURE_BYTES = 16
+_READ_ERRORS = (PackingError, *DECODE_ERRORS)
 
 
 class DatagramCodec:
@@ -43,7 +45,7 @@
             raise AuthenticationError('datagram signature does not match')
         try:
             return self._decoder.decode(unpack(body))
-        except (msgspec.MsgspecError, PackingError) as error:
+        except _READ_ERRORS as error:
             raise MalformedDatagramError(str(error)) from error
 
     def _sign(self, body: bytes) -> bytes:
--- a/fescueknot/membership/rosters.py
+++ b/fescueknot/membership/rosters.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.membership.errors import MembershipError
 from fescueknot.roster import Roster
 
@@ -49,7 +50,7 @@
         return RosterBucket()
     try:
         return msgspec.json.decode(content, type=RosterBucket)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise MembershipError(f'invalid roster object: {error}') from error
 
 
--- a/fescueknot/node/control.py
+++ b/fescueknot/node/control.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.identity import Address
 from fescueknot.node.connections import ConnectionPool
 from fescueknot.node.errors import ControlError, TransportError
@@ -83,7 +84,7 @@
                 request.body,
                 type=endpoint.request_type,
             )
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return HttpAnswer(status=int(HTTPStatus.BAD_REQUEST))
         body = msgspec.json.encode(endpoint.handler(message))
         return HttpAnswer(status=int(HTTPStatus.OK), body=body)
@@ -146,7 +147,7 @@
         )
     try:
         return msgspec.json.decode(answer.body, type=answer_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise ControlError(
             f'malformed answer to a control call: {error}'
         ) from error
--- a/fescueknot/node/envelope.py
+++ b/fescueknot/node/envelope.py
@@ -12,9 +12,11 @@
 import msgspec
 
 from fescueknot.calls import CallContext, CallPolicy
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.node.errors import EnvelopeError
 
 _SEPARATOR = '.'
+_READ_ERRORS = (binascii.Error, *DECODE_ERRORS)
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,7 +55,7 @@
             raise EnvelopeError('the signature does not match')
         try:
             return self._decoder.decode(base64.urlsafe_b64decode(payload))
-        except (binascii.Error, msgspec.MsgspecError) as error:
+        except _READ_ERRORS as error:
             raise EnvelopeError('the envelope is malformed') from error
 
     def _signature(self, payload: bytes, method: str, path: str) -> str:
--- a/fescueknot/node/ops.py
+++ b/fescueknot/node/ops.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from fescueknot.calls import CallPolicy, Outcome
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.node import problems
 from fescueknot.node.connections import CallerGone
 from fescueknot.node.messages import Header, HttpAnswer, HttpRequest
@@ -92,7 +93,7 @@
                 request.body,
                 type=TargetAnnouncement,
             )
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return _problem(HTTPStatus.BAD_REQUEST, str(error))
         self._actions.announce(announcement)
         return _json_answer(announcement)
--- a/fescueknot/node/verdicts.py
+++ b/fescueknot/node/verdicts.py
@@ -11,6 +11,7 @@
 from fescueknot.admission.messages import AdmissionLevel
 from fescueknot.admission.rank import OPEN_RANK
 from fescueknot.calls import Outcome
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.identity import InstanceId
 from fescueknot.node import headers
 from fescueknot.node.messages import Header, HttpAnswer
@@ -71,5 +72,5 @@
     """Return the verdict on ``answer``, or None when it has no valid one."""
     try:
         return _DECODER.decode(answer.header(headers.VERDICT))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/fescueknot/objectapi/follower.py
+++ b/fescueknot/objectapi/follower.py
@@ -46,6 +46,10 @@
     def apply_changes(self, changes: tuple[Change, ...], revision: int) -> None:
         """Apply the changes up to ``revision`` since the last call."""
 
+    @abc.abstractmethod
+    def record_unreadable(self, count: int) -> None:
+        """Record that a read has left out objects that can't be decoded."""
+
     @abc.abstractmethod
     def record_failure(self, error: ObjectApiError) -> None:
         """Record that a call to the store failed."""
@@ -135,6 +139,7 @@
             if batch is None:
                 return
             revision = batch.revision
+            self._subscriber.record_unreadable(batch.unreadable)
             self._subscriber.apply_changes(batch.events, revision)
             self._report_fresh_read(sent_s + self._waited_s(batch, sent_s))
             await self._gather()
@@ -144,6 +149,7 @@
         sent_s = asyncio.get_running_loop().time()
         listing = await self._store.list(self.kind, stale=self._settings.stale)
         self._retry_s = self._settings.first_retry_s
+        self._subscriber.record_unreadable(listing.unreadable)
         self._subscriber.apply_listing(listing)
         self._report_fresh_read(sent_s)
         return listing.revision
--- a/fescueknot/objectapi/http_store.py
+++ b/fescueknot/objectapi/http_store.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.identity import Address
 from fescueknot.objectapi import wire
 from fescueknot.objectapi.connections import Answer, ConnectionPool, Request
@@ -155,7 +156,7 @@
 ) -> _Message:
     try:
         return msgspec.json.decode(body, type=message_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise default_error(f'cannot decode the response: {error}') from error
 
 
--- a/fescueknot/objectapi/messages.py
+++ b/fescueknot/objectapi/messages.py
@@ -35,10 +35,14 @@
 
 
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
-    """All objects under a prefix at ``revision``, in key order."""
+    """All objects under a prefix at ``revision``, in key order.
+
+    ``unreadable`` objects are left out, as they can't be decoded.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    unreadable: int = 0
 
 
 class WatchBatch(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,8 +50,9 @@
 
     The next watch starts from ``revision``, which may be later than the last
     event but is never below the requested revision. ``events`` is empty if the
-    watch timed out.
+    watch timed out, or if all of them were ``unreadable`` and left out.
     """
 
     events: tuple[Change, ...]
     revision: int
+    unreadable: int = 0
--- a/fescueknot/platform/configuration.py
+++ b/fescueknot/platform/configuration.py
@@ -1,8 +1,11 @@
 """Decodes the operator's configuration from the platform's format."""
 
+from typing import Annotated
+
 import msgspec
 
 from fescueknot.calls import Importance
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.httpio.messages import Limits
 from fescueknot.relay.adapter import UnreadableError
 from fescueknot.routes.messages import (
@@ -78,7 +81,7 @@
 class _Document(_PlatformStruct):
     """A configuration; ``version`` is a hexadecimal number."""
 
-    version: str
+    version: Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F]{1,13}\Z')]
     listeners: tuple[_Listener, ...] = ()
     clusters: tuple[_Cluster, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -88,11 +91,10 @@
     """Decode a configuration; raise :class:`UnreadableError`."""
     try:
         document = msgspec.json.decode(text, type=_Document)
-        version = int(document.version, _VERSION_BASE)
-    except ValueError as error:
+    except DECODE_ERRORS as error:
         raise UnreadableError(str(error)) from error
     return Configuration(
-        version=version,
+        version=int(document.version, _VERSION_BASE),
         routes=tuple(
             _route(listener.host, rule)
             for listener in document.listeners
--- a/fescueknot/platform/heartbeats.py
+++ b/fescueknot/platform/heartbeats.py
@@ -1,16 +1,19 @@
 """Decodes heartbeats and leave notices of targets."""
 
 import types
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS, Count, Name
 from fescueknot.httpio.messages import Request
 from fescueknot.relay.adapter import LeaveNotice, UnreadableError
 from fescueknot.targets.messages import Heartbeat, TargetState
 
 _PATH = '/v1/instances/'
 _MS_PER_S = 1000
+_MAX_SLOTS = 1_000_000
+_MAX_WARMUP_MS = 86_400_000
 _STATES = types.MappingProxyType(
     {
         'ready': TargetState.SERVING,
@@ -26,13 +29,13 @@
     counts the heartbeats since that start.
     """
 
-    service: str
+    service: Name
     address: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(le=_MAX_SLOTS)]
     state: Literal['ready', 'draining']
-    seq: int
-    born: int
-    warmup_left_ms: float = 0
+    seq: Count
+    born: Count
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_WARMUP_MS)] = 0
 
 
 def decode(request: Request, address: str) -> Heartbeat | LeaveNotice:
@@ -47,7 +50,7 @@
         raise UnreadableError(f'expected PUT or DELETE; found {request.method}')
     try:
         body = msgspec.json.decode(request.body, type=_Heartbeat)
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except DECODE_ERRORS as error:
         raise UnreadableError(str(error)) from error
     if body.address != address:
         raise UnreadableError(
--- a/fescueknot/platform/objects.py
+++ b/fescueknot/platform/objects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS, Count, Name
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.messages import Request, Response
@@ -26,6 +27,7 @@
     StoredObject,
     WatchBatch,
 )
+from fescueknot.platform.nesting import UnreadableTextError, cut_deep_parts
 
 _PATH = '/v1/objects'
 _MS_PER_S = 1000
@@ -37,6 +39,7 @@
     unacknowledged_timeout_s=1.5,
     max_idle_connections=3,
 )
+_READ_ERRORS = (UnreadableTextError, *DECODE_ERRORS)
 _JSON_CONTENT_TYPE = ('content-type', 'application/json')
 _ERROR_BY_STATUS = types.MappingProxyType(
     {
@@ -52,9 +55,9 @@
 class _Metadata(msgspec.Struct, rename='camel'):
     """``create_revision`` distinguishes successive objects with one name."""
 
-    name: str
-    revision: int = 0
-    create_revision: int = 0
+    name: Name
+    revision: Count = 0
+    create_revision: Count = 0
 
 
 class _Object(msgspec.Struct, rename='camel'):
@@ -62,12 +65,22 @@
     spec: msgspec.Raw = msgspec.Raw(b'null')
 
 
+class _NamedMetadata(msgspec.Struct):
+    name: Name
+
+
+class _NamedObject(msgspec.Struct):
+    """The part of an object that a listing is continued by."""
+
+    metadata: _NamedMetadata
+
+
 class _Page(msgspec.Struct, rename='camel'):
     """One page of a listing; ``as_of`` is its revision."""
 
     items: tuple[msgspec.Raw, ...]
     has_more: bool = False
-    as_of: int = 0
+    as_of: Count = 0
 
 
 class _Event(msgspec.Struct, rename='camel'):
@@ -76,7 +89,7 @@
 
 
 class _Events(msgspec.Struct, rename='camel'):
-    as_of: int
+    as_of: Count
     events: tuple[_Event, ...] = ()
 
 
@@ -92,14 +105,20 @@
         objects: list[StoredObject] = []
         after = ''
         revision = 0
+        unreadable = 0
         while True:
             page = await self._page(kind, after, stale=stale)
             decoded = [_decode_object(kind, raw) for raw in page.items]
             objects.extend(stored for stored in decoded if stored is not None)
+            unreadable += decoded.count(None)
             revision = min(revision or page.as_of, page.as_of)
-            if not page.has_more or not objects:
-                return Listing(objects=tuple(objects), revision=revision)
-            after = objects[-1].key.partition('/')[2]
+            if not page.has_more:
+                return Listing(
+                    objects=tuple(objects),
+                    revision=revision,
+                    unreadable=unreadable,
+                )
+            after = _last_name(page, after)
 
     async def get(self, key: str) -> StoredObject | None:
         """Return the current object; ``None`` if missing or unreadable."""
@@ -127,10 +146,11 @@
             f'{_PATH}/{kind}{query}', extra_timeout_s=timeout_s
         )
         events = _decode(response, _Events)
-        changes = (_decode_change(kind, event) for event in events.events)
+        changes = [_decode_change(kind, event) for event in events.events]
         return WatchBatch(
             events=tuple(change for change in changes if change),
             revision=max(events.as_of, since_revision),
+            unreadable=changes.count(None),
         )
 
     async def put(
@@ -216,18 +236,41 @@
 
 
 def _decode(response: Response, message_type):
+    """Decode a response; parts that are nested too deeply are left out."""
     try:
-        return msgspec.json.decode(response.body, type=message_type)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        return _decode_nested(response.body, message_type)
+    except _READ_ERRORS as error:
         raise Unavailable(f'cannot decode the response: {error}') from error
 
 
+def _decode_nested(body: bytes, message_type):
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except RecursionError:
+        return msgspec.json.decode(cut_deep_parts(body), type=message_type)
+
+
+def _last_name(page: _Page, before: str) -> str:
+    """Return the name by which to continue a listing after a page.
+
+    Raises :class:`Unavailable` if no object of the page shows its name.
+    """
+    for raw in reversed(page.items):
+        try:
+            named = msgspec.json.decode(raw, type=_NamedObject)
+        except DECODE_ERRORS:
+            continue
+        if named.metadata.name > before:
+            return named.metadata.name
+    raise Unavailable('no object of a page can be read')
+
+
 def _decode_object(kind: str, raw: msgspec.Raw | bytes) -> StoredObject | None:
     """Return the object, or ``None`` if it cannot be decoded."""
     try:
         document = msgspec.json.decode(raw, type=_Object)
         text = bytes(document.spec).decode()
-    except (msgspec.DecodeError, UnicodeError):
+    except DECODE_ERRORS:
         return None
     return StoredObject(
         key=f'{kind}/{document.metadata.name}',
--- a/fescueknot/quarantine/messages.py
+++ b/fescueknot/quarantine/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from fescueknot.decoding import Count, CountOrUnknown, Name
+
 # Stands in messages for something that has not happened.
 NEVER_AGE_MS = -1
 
@@ -12,9 +14,9 @@
 class Crash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Crash of one start of a target, ``age_ms`` ago."""
 
-    instance: str
-    started_ms: int
-    age_ms: int
+    instance: Name
+    started_ms: Count
+    age_ms: Count
 
 
 class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -25,9 +27,9 @@
     crash, -1 if none has.
     """
 
-    fingerprint: str
+    fingerprint: Name
     crashes: tuple[Crash, ...] = ()
-    cleared_age_ms: int = NEVER_AGE_MS
+    cleared_age_ms: CountOrUnknown = NEVER_AGE_MS
 
 
 class CrashEvidenceMessage(
@@ -39,7 +41,7 @@
     its records, ``held_digest`` of those of requests that are held back.
     """
 
-    service: str
+    service: Name
     digest: int
     held_digest: int
     records: tuple[SuspectRecord, ...] = ()
--- a/fescueknot/relay/messages.py
+++ b/fescueknot/relay/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fescueknot.calls import Importance
+from fescueknot.decoding import Count
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.relay.announcement import Announcement
 from fescueknot.relay.runs import Lineage
@@ -47,14 +48,14 @@
 
     attempt: str = ''
     instance: str
-    started_ms: int
+    started_ms: Count
     idempotent: bool
     route: str
     lineage: Lineage
-    remaining_ms: int
-    max_wait_ms: int
+    remaining_ms: Count
+    max_wait_ms: Count
     caller_service: str
-    version: int = 0
+    version: Count = 0
     rate_limit_per_s: float | None = None
 
 
@@ -122,12 +123,12 @@
     refused_for: RefusedFor = RefusedFor.NONE
     detail: str = ''
     retry_after_s: float = 0
-    limit: int = 0
-    in_flight: int = 0
-    waiting: int = 0
-    service_ms: int = 0
+    limit: Count = 0
+    in_flight: Count = 0
+    waiting: Count = 0
+    service_ms: Count = 0
     level_rank: float = float(len(Importance))
-    version: int = 0
+    version: Count = 0
     failed_below: bool = False
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.documents import Transfer
 from fescueknot.httpio.client import Client, ClientSettings
 from fescueknot.httpio.encoding import end_to_end
@@ -45,12 +46,12 @@
 _REFUSED_STATUS = 503
 _UNKNOWN_STATUS = 502
 _FETCH_TIMEOUT_S = 1.0
+_MAX_VERSION_DIGITS = 16
 _FETCH_ERRORS = (
     NotSentError,
     AnswerLostError,
     TimeoutError,
-    msgspec.MsgspecError,
-    UnicodeError,
+    *DECODE_ERRORS,
 )
 _Update = TypeVar('_Update')
 
@@ -176,7 +177,7 @@
             return self._updates_response(request)
         try:
             head = msgspec.json.decode(text, type=CallHead)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return Response(status=400)
         attempt = request.header(self._header_names.attempt) or ''
         head = _restore_attempt(head, attempt)
@@ -198,7 +199,7 @@
         """Return the updates after the version or revision in the header."""
         for name, update_after in self._updates_by_header.items():
             version = request.header(name) or ''
-            if version.isdecimal():
+            if version.isdecimal() and len(version) <= _MAX_VERSION_DIGITS:
                 body = msgspec.json.encode(update_after(int(version)))
                 return Response(status=200, body=body)
         return Response(status=400)
@@ -238,7 +239,7 @@
     text = response.header(ANSWER_HEADER)
     try:
         head = msgspec.json.decode(text or '', type=AnswerHead)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return reply_without_response(
             Ending.UNKNOWN, f'status {response.status} of a node'
         )
--- a/fescueknot/relay/quarantine_archive.py
+++ b/fescueknot/relay/quarantine_archive.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS, Count
 from fescueknot.objectapi.async_store import AsyncObjectStore
 from fescueknot.objectapi.errors import ObjectApiError
 from fescueknot.objectapi.messages import StoredObject
@@ -27,7 +28,7 @@
 class StoredQuarantine(msgspec.Struct, frozen=True, kw_only=True):
     """A record as written; its ages count from ``written_ms`` (Unix)."""
 
-    written_ms: int
+    written_ms: Count
     crashes: tuple[Crash, ...]
 
 
@@ -93,7 +94,7 @@
             quarantine = msgspec.json.decode(
                 stored.value, type=StoredQuarantine
             )
-        except (msgspec.DecodeError, UnicodeError) as error:
+        except DECODE_ERRORS as error:
             self._observer.note(
                 'store.quarantine_unreadable', key=stored.key, error=str(error)
             )
--- a/fescueknot/relay/store_subscribers.py
+++ b/fescueknot/relay/store_subscribers.py
@@ -14,6 +14,11 @@
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory, name_in_key
 
+# Entries are a few hundred characters long; one fits into a datagram.
+_MAX_ENTRY_CHARS = 2000
+# It is no entry, and not a removal either.
+_UNREADABLE_CONTENT = ''
+
 
 class _StoreSubscriber(Subscriber):
     """Logs when the store becomes unreachable and reachable again."""
@@ -29,6 +34,11 @@
             self._observer.note('store.lost', kind=self.kind, error=str(error))
         self.reachable = False
 
+    def record_unreadable(self, count: int) -> None:
+        """Log objects that can't be decoded."""
+        if count:
+            self._observer.note('store.unreadable', kind=self.kind, count=count)
+
     def _mark_reachable(self, revision: int) -> None:
         if not self.reachable:
             self._observer.note(
@@ -196,11 +206,20 @@
     return Document(
         key=stored.key,
         revision=stored.revision,
-        content=stored.value,
+        content=_content_of(stored.value),
         created=stored.created_revision,
     )
 
 
+def _content_of(value: str) -> str:
+    """Return a value as nodes pass it on to each other.
+
+    A value that is too long for an entry would stop what comes after it, so
+    nothing is passed on in its place.
+    """
+    return value if len(value) <= _MAX_ENTRY_CHARS else _UNREADABLE_CONTENT
+
+
 def _changed_document(change: Change, revision: int) -> Document:
     """Return the document of a change.
 
@@ -211,6 +230,6 @@
     return Document(
         key=change.key,
         revision=change.revision,
-        content=change.value,
+        content=_content_of(change.value),
         created=change.created_revision,
     )
--- a/fescueknot/routes/delta.py
+++ b/fescueknot/routes/delta.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fescueknot.decoding import Count
 from fescueknot.httpio.messages import Limits
 from fescueknot.routes.messages import Configuration, Route, ServiceInfo
 
@@ -33,8 +34,8 @@
     ``removed_routes`` has the host and path prefix of each removed route.
     """
 
-    base: int
-    version: int
+    base: Count
+    version: Count
     routes: tuple[Route, ...] = ()
     removed_routes: tuple[RouteKey, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
--- a/fescueknot/routes/messages.py
+++ b/fescueknot/routes/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from fescueknot.calls import Importance
+from fescueknot.decoding import Count
 from fescueknot.httpio.messages import Limits
 
 
@@ -43,7 +44,7 @@
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """All routes and services, under one version."""
 
-    version: int
+    version: Count
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
     limits: Limits = Limits()
--- a/fescueknot/rules/archive.py
+++ b/fescueknot/rules/archive.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.objectapi.errors import Conflict, NotFound
 from fescueknot.objectapi.store import ObjectStore
 from fescueknot.rules.errors import LogBroken
@@ -69,5 +70,5 @@
 def _decode_page(value: str) -> ArchivePage:
     try:
         return msgspec.json.decode(value, type=ArchivePage)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise LogBroken(f'archive page is corrupt: {error}') from error
--- a/fescueknot/rules/log_entry.py
+++ b/fescueknot/rules/log_entry.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.rules import packing
 from fescueknot.rules.delta import Hunk, apply_delta
 from fescueknot.rules.errors import BadDelta, BadSnapshot
 
 EMPTY_DIGEST = packing.digest_of(0, ())
+_READ_ERRORS = (BadSnapshot, *DECODE_ERRORS)
 
 
 class LogEntry(msgspec.Struct, frozen=True, kw_only=True, tag='entry'):
@@ -38,7 +40,7 @@
             return self.hunks
         try:
             return _unpack_hunks(self.packed_hunks)
-        except (BadSnapshot, msgspec.DecodeError) as error:
+        except _READ_ERRORS as error:
             raise BadDelta(str(error)) from error
 
 
@@ -126,7 +128,7 @@
     """Return the message in a stored value; ``None`` if it is invalid."""
     try:
         return msgspec.json.decode(value, type=LogMessage)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/fescueknot/targets/directory.py
+++ b/fescueknot/targets/directory.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.documents import Document
 from fescueknot.identity import Address, InstanceId
 from fescueknot.routing.messages import Candidate, CandidateState
@@ -189,7 +190,7 @@
     """Decode a stored entry; return ``None`` if it can't be decoded."""
     try:
         return msgspec.json.decode(text, type=TargetEntry)
-    except (msgspec.DecodeError, UnicodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/fescueknot/targets/messages.py
+++ b/fescueknot/targets/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fescueknot.decoding import Count, Name, PortOrNone
 from fescueknot.identity import Address, Place
 
 
@@ -38,11 +39,11 @@
     the same host its port for datagrams; 0 for a node that doesn't gossip.
     """
 
-    instance: str
-    started_ms: int
-    service: str
+    instance: Name
+    started_ms: Count
+    service: Name
     place: Place
     node: Address
-    slots: int
+    slots: Count
     state: TargetState = TargetState.SERVING
-    gossip_port: int = 0
+    gossip_port: PortOrNone = 0
--- a/fescueknot/telemetry/request_log.py
+++ b/fescueknot/telemetry/request_log.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fescueknot.decoding import DECODE_ERRORS
+
 DROPPED_EVENT = 'log.dropped'
 SHED_EVENT = 'call.shed'
 SENT_EVENT = 'gate.sent'
@@ -174,6 +176,6 @@
     _, brace, rest = line.partition('{')
     try:
         fields = msgspec.json.decode((brace + rest).strip())
-    except (msgspec.DecodeError, UnicodeError):
+    except DECODE_ERRORS:
         return {}
     return fields if isinstance(fields, dict) else {}
--- a/tests/platform/test_follower_evidence.py
+++ b/tests/platform/test_follower_evidence.py
@@ -49,6 +49,9 @@
     def apply_changes(self, changes, revision):
         """Ignore the changes."""
 
+    def record_unreadable(self, count):
+        """Ignore the number."""
+
     def record_failure(self, error):
         """Ignore the error."""
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -140,6 +140,7 @@
         self.listings = []
         self.changes = []
         self.errors = []
+        self.unreadable = 0
 
     def apply_listing(self, listing):
         self.listings.append(listing)
@@ -147,6 +148,9 @@
     def apply_changes(self, changes, revision):
         self.changes.extend(changes)
 
+    def record_unreadable(self, count):
+        self.unreadable += count
+
     def record_failure(self, error):
         self.errors.append(error)
 
