Count suspended time in the age of evidence

Cause: the event loop's clock stands still meanwhile. Change: evidence is dated by the loop's time and the time in suspend (CLOCK_BOOTTIME).

--- a/fescueknot/clock.py
+++ b/fescueknot/clock.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import asyncio
 import time
 
 
@@ -29,6 +30,20 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def suspended_s() -> float:
+    """Return how long the host has been suspended since it booted."""
+    return boot_time_s() - time.monotonic()
+
+
+def elapsed_s() -> float:
+    """Return the time of the running event loop, with suspended time added.
+
+    The loop's own clock stops while the host is suspended; what a node knows
+    gets older all the same.
+    """
+    return asyncio.get_running_loop().time() + suspended_s()
+
+
 class SystemClock(Clock):
     """Clock of the host."""
 
--- a/fescueknot/objectapi/follower.py
+++ b/fescueknot/objectapi/follower.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fescueknot.clock import elapsed_s
 from fescueknot.objectapi.async_store import AsyncObjectStore
 from fescueknot.objectapi.errors import Compacted, ObjectApiError
 from fescueknot.objectapi.messages import Change, Listing, WatchBatch
@@ -58,9 +59,10 @@
 class Follower:
     """Keeps a subscriber up to date; runs until it is cancelled.
 
-    ``on_fresh_read`` is called after each read that is not stale, with a time
-    of the event loop up to which it has shown all changes: that at which the
-    read was sent, or nearly the end of a watch that has waited in vain.
+    ``on_fresh_read`` is called after each read that is not stale, with the
+    time (:func:`~fescueknot.clock.elapsed_s`) up to which it has shown all
+    changes: that at which the read was sent, or nearly the end of a watch that
+    has waited in vain.
     """
 
     def __init__(
@@ -133,7 +135,7 @@
         self._list_requested.clear()
         revision = await self._list()
         while not self._list_requested.is_set():
-            sent_s = asyncio.get_running_loop().time()
+            sent_s = elapsed_s()
             watch = asyncio.ensure_future(self._watch(revision))
             batch = await self._unless_list_requested(watch)
             if batch is None:
@@ -146,7 +148,7 @@
 
     async def _list(self) -> int:
         """List the objects; return the revision of the listing."""
-        sent_s = asyncio.get_running_loop().time()
+        sent_s = elapsed_s()
         listing = await self._store.list(self.kind, stale=self._settings.stale)
         self._retry_s = self._settings.first_retry_s
         self._subscriber.record_unreadable(listing.unreadable)
@@ -167,8 +169,8 @@
 
         The store ends a watch without events only after the whole wait.
         """
-        elapsed_s = asyncio.get_running_loop().time() - sent_s
-        if batch.events or elapsed_s < self._settings.wait_s:
+        took_s = elapsed_s() - sent_s
+        if batch.events or took_s < self._settings.wait_s:
             return 0
         return self._settings.wait_s * (1 - _CLOCK_DRIFT_RATIO)
 
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from fescueknot.clock import elapsed_s
 from fescueknot.gossip.errors import UnreadableMessageError
 from fescueknot.gossip.freshness import FreshnessBounds
 from fescueknot.gossip.known_peers import GossipPeer, KnownPeers
@@ -139,7 +140,7 @@
 
     def _push(self) -> None:
         self._push_timer = None
-        now_s = asyncio.get_running_loop().time()
+        now_s = elapsed_s()
         push = self._protocol.rumour_push(now_s)
         for peer in self._known_peers.sample_nearby(self._rng):
             self._port.send(push, peer.address)
@@ -149,7 +150,7 @@
 
     def _send_request_to(self, peer: GossipPeer | None) -> None:
         if peer is not None:
-            now_s = asyncio.get_running_loop().time()
+            now_s = elapsed_s()
             question = self._protocol.sync_request(now_s=now_s, rng=self._rng)
             self._port.send(question, peer.address)
 
@@ -158,7 +159,7 @@
             message.name,
             is_informed=self._freshness.is_fresh_ms(message.digest.age_ms),
         )
-        now_s = asyncio.get_running_loop().time()
+        now_s = elapsed_s()
         answers = self._protocol.receive(message, now_s=now_s, rng=self._rng)
         for answer in answers:
             self._port.send(answer, source)
--- a/fescueknot/relay/routes_status.py
+++ b/fescueknot/relay/routes_status.py
@@ -1,8 +1,8 @@
 """Which version of the routes a node has in force, and how current it is."""
 
-import asyncio
 import math
 
+from fescueknot.clock import elapsed_s
 from fescueknot.gossip.evidence import FreshnessEvidence
 from fescueknot.relay.observer import Observer
 from fescueknot.routes.in_force import RoutesInForce
@@ -50,7 +50,7 @@
 
         Infinite until there is evidence.
         """
-        return self._evidence.age_s(asyncio.get_running_loop().time())
+        return self._evidence.age_s(elapsed_s())
 
     def is_confirmed(self) -> bool:
         """Return whether the evidence is fresh; log it if that has changed."""
--- a/fescueknot/relay/targets_fetcher.py
+++ b/fescueknot/relay/targets_fetcher.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from fescueknot.clock import elapsed_s
 from fescueknot.gossip.replica import Replica
 from fescueknot.relay.peers import PeerNodes
 from fescueknot.targets.directory import TargetDirectory
@@ -58,6 +59,6 @@
             entry.node, self._replica.log.cursor
         )
         if transfer is not None:
-            now_s = asyncio.get_running_loop().time()
+            now_s = elapsed_s()
             self._replica.apply_transfer(transfer, name, now_s)
             self._on_change()
