--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -168,7 +168,7 @@
         return self._followers.counted_store(reason)
 
     async def start(self) -> bool:
-        """Listen for gossip, then read the entries from the store.
+        """Listen for gossip, then read routes and entries from the store.
 
         Returns whether calls to the store failed before the entries were
         listed.
--- a/fescueknot/relay/store_reader.py
+++ b/fescueknot/relay/store_reader.py
@@ -57,12 +57,15 @@
         self._next_targets_read_s = float(0)
 
     async def start(self) -> None:
-        """Read the entries once, to find the other nodes.
+        """Read the entries, and try to read the routes.
 
-        The routes are not read: a stale read may show a version older than
-        the one that this node had in force before it was started again.
+        The read of the routes is fresh: a stale one may show a version older
+        than the one in force here before the node was started again.
         """
-        await self._followers.discovery.read()
+        await asyncio.gather(
+            self._followers.discovery.read(),
+            self._followers.routes_now.try_read(),
+        )
 
     def request_read(self) -> None:
         """Have the routes read, as a newer version than that here is known."""
