Show in fleet what a node with older routes knows

Change: for each node whose version isn't the newest one, fleet prints the newest version that it has heard of, the age of its evidence and whether it follows the store. The rows of the page are a module of their own.

--- a/fescueknot/cli/fleet.py
+++ b/fescueknot/cli/fleet.py
@@ -32,7 +32,8 @@
     arguments_min = 1
     arguments_max = _MAX_NODES
     description = (
-        'Prints the nodes by the version of the routes in force, the ages of '
+        'Prints the nodes by the version of the routes in force, what those '
+        'with an older one know, the ages of '
         'the oldest evidence about routes, calls to the store by reason, '
         'slots by service and failure domain, targets that announce a rate '
         'limit or that they leave, and calls by service with percentiles over '
@@ -89,6 +90,7 @@
 def _show_json(figures: FleetFigures, failures: dict[str, str]) -> None:
     document = {
         'versions': figures.versions(),
+        'late_nodes': figures.late_nodes(),
         'belief_ages_s': dict(figures.evidence_ages()),
         'store_calls': figures.store_calls(),
         'targets': figures.targets(),
@@ -118,6 +120,7 @@
         'store calls', [f'{reason}={count}' for reason, count in calls]
     )
     tables = (
+        figures.late_nodes()[:_MAX_NAMES_SHOWN],
         figures.targets(),
         figures.announcing_targets(),
         figures.services(),
--- a/fescueknot/telemetry/fleet_figures.py
+++ b/fescueknot/telemetry/fleet_figures.py
@@ -9,6 +9,12 @@
 from prometheus_client.samples import Sample
 
 from fescueknot.telemetry.errors import UnreadableMetricsError
+from fescueknot.telemetry.fleet_rows import (
+    AnnouncingTargetFigures,
+    LateNodeFigures,
+    ServiceFigures,
+    TargetFigures,
+)
 
 _PREFIX = 'fescueknot_'
 _EVENTS_METRIC = 'events_total'
@@ -16,6 +22,8 @@
 _NODE_INFO_METRIC = 'node_info'
 _RULES_VERSION_METRIC = 'rules_version'
 _EVIDENCE_AGE_METRIC = 'routes_evidence_age_s'
+_VERSION_HEARD_METRIC = 'rules_version_heard'
+_FOLLOWS_METRIC = 'follows_store'
 _RATE_LIMIT_METRIC = 'target_rate_limit_per_s'
 _LEAVING_METRIC = 'target_leaving'
 _GATE_REFUSED_EVENT = 'gate.refused'
@@ -28,47 +36,6 @@
 _P99 = 0.99
 
 
-class ServiceFigures(msgspec.Struct, frozen=True, kw_only=True):
-    """Calls to one service, summed over all nodes.
-
-    Percentiles are upper bounds of histogram buckets.
-    """
-
-    service: str
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    p50_ms: float | None = None
-    p99_ms: float | None = None
-
-
-class TargetFigures(msgspec.Struct, frozen=True, kw_only=True):
-    """Slots of the targets of one service in one failure domain."""
-
-    service: str
-    failure_domain: str
-    nodes: int
-    slots: int
-    in_use: int
-    waiting: int
-
-
-class AnnouncingTargetFigures(msgspec.Struct, frozen=True, kw_only=True):
-    """A target that announces a rate limit or that it leaves.
-
-    ``limit_per_s`` is ``None`` without a limit, ``refused`` counts the calls
-    that its node has refused by a limit since the node started.
-    """
-
-    node: str
-    service: str
-    failure_domain: str
-    limit_per_s: float | None
-    refused: int
-    waiting: int
-    leaving: bool
-
-
 class _NodeSamples(msgspec.Struct, frozen=True, kw_only=True):
     """Samples of one node, by metric name without the prefix."""
 
@@ -137,6 +104,23 @@
             for version in sorted(nodes, reverse=True)
         }
 
+    def late_nodes(self) -> tuple[LateNodeFigures, ...]:
+        """Return the nodes whose version isn't the newest of the fleet."""
+        newest = max(self.versions(), default=0)
+        figures = (
+            LateNodeFigures(
+                node=node,
+                version=int(node_samples.gauge(_RULES_VERSION_METRIC)),
+                heard_of=int(node_samples.gauge(_VERSION_HEARD_METRIC)),
+                evidence_age_s=round(
+                    node_samples.gauge(_EVIDENCE_AGE_METRIC), 1
+                ),
+                follows_store=bool(node_samples.gauge(_FOLLOWS_METRIC)),
+            )
+            for node, node_samples in sorted(self._samples_by_node.items())
+        )
+        return tuple(late for late in figures if late.version < newest)
+
     def evidence_ages(self) -> tuple[tuple[str, float], ...]:
         """Return nodes with the age of their evidence in s, oldest first."""
         ages = (
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -51,6 +51,16 @@
         assert 'maps     2       0        0       5       5' in output
         assert 'limit_per_s' not in output
 
+    def test_text_tells_what_nodes_with_older_routes_know(self, files, capsys):
+        with open(files[1], 'a') as metrics_file:
+            metrics_file.write('fescueknot_rules_version_heard 7\n')
+            metrics_file.write('fescueknot_follows_store 1\n')
+        assert _run(*files) == 0
+        lines = capsys.readouterr().out.splitlines()
+        header = next(line for line in lines if 'heard_of' in line)
+        row = lines[lines.index(header) + 1].split()
+        assert row == [files[1], '6', '7', '1', 'yes']
+
     def test_text_lists_targets_that_announce_a_limit(self, tmp_path, capsys):
         path = tmp_path / 'node-a.txt'
         limit = 'fescueknot_target_rate_limit_per_s 11.2\n'
--- a/tests/telemetry/test_fleet_figures.py
+++ b/tests/telemetry/test_fleet_figures.py
@@ -4,7 +4,8 @@
 
 from fescueknot.admission.messages import RefusalReason
 from fescueknot.telemetry.errors import UnreadableMetricsError
-from fescueknot.telemetry.fleet_figures import FleetFigures, ServiceFigures
+from fescueknot.telemetry.fleet_figures import FleetFigures
+from fescueknot.telemetry.fleet_rows import ServiceFigures
 
 
 def _metrics(
