Let the tasks of the older node go on after unexpected errors

Tasks on threads (gossip, reader, roster writer) logged the error that ended them and were gone; those of rules and keys weren't even logged, so that a node kept its rules for good. Change: one start for all of them, which logs the error and runs the task again. The test that the error is logged now also sees the task go on.

--- a/fescueknot/membership/readertask.py
+++ b/fescueknot/membership/readertask.py
@@ -11,7 +11,7 @@
 from fescueknot.membership.feeds import Feed, Reading
 from fescueknot.membership.published import PublishedMembership
 from fescueknot.membership.readers import ReadMode
-from fescueknot.membership.task_start import start_logged
+from fescueknot.membership.task_start import start_task
 
 IDLE_PERIOD_S = 0.5
 MIN_PERIOD_S = 0.2
@@ -49,7 +49,7 @@
 
     def start(self, executor: Executor) -> 'Future[None]':
         """Run on a thread of ``executor``; the future ends with the task."""
-        return start_logged(executor, 'reader', self._run)
+        return start_task(executor, 'reader', self._run)
 
     def stop(self) -> None:
         """Stop the task after the call in progress."""
--- a/fescueknot/membership/rosterwriter.py
+++ b/fescueknot/membership/rosterwriter.py
@@ -23,7 +23,7 @@
     decode_bucket,
     encode_bucket,
 )
-from fescueknot.membership.task_start import start_logged
+from fescueknot.membership.task_start import start_task
 from fescueknot.objectapi.errors import (
     Conflict,
     NotFound,
@@ -75,7 +75,7 @@
 
     def start(self, executor: Executor) -> 'Future[None]':
         """Run on a thread of ``executor``; the future ends with the task."""
-        return start_logged(executor, 'roster', self._run)
+        return start_task(executor, 'roster', self._run)
 
     def stop(self) -> None:
         """Stop the task; queued writes fail."""
--- a/fescueknot/membership/task.py
+++ b/fescueknot/membership/task.py
@@ -1,6 +1,5 @@
 """Gossip task: the thread that owns the membership state of a node."""
 
-import contextlib
 import functools
 import logging
 import queue
@@ -19,7 +18,7 @@
 from fescueknot.membership.publisher import Publisher
 from fescueknot.membership.readers import ReadMode
 from fescueknot.membership.schedule import TICK_PERIOD_S
-from fescueknot.membership.task_start import start_logged
+from fescueknot.membership.task_start import start_task
 
 _log = logging.getLogger('fescueknot.gossip')
 
@@ -61,7 +60,7 @@
 
     def start(self, executor: Executor) -> 'Future[None]':
         """Run on a thread of ``executor``; the future ends with the task."""
-        return start_logged(executor, 'gossip', self._run, executor)
+        return start_task(executor, 'gossip', self._run, executor)
 
     def put(self, command: commands.Command) -> None:
         """Queue a command and wake the task."""
@@ -70,9 +69,9 @@
 
     def _run(self, executor: Executor) -> None:
         next_tick_s = self._clock.monotonic_s()
-        with contextlib.closing(self._port):
-            while self._is_running:
-                next_tick_s = self._step(next_tick_s, executor)
+        while self._is_running:
+            next_tick_s = self._step(next_tick_s, executor)
+        self._port.close()
 
     def _step(self, next_tick_s: float, executor: Executor) -> float:
         """Wait for datagrams, commands or the next tick and handle them.
--- a/fescueknot/node/roster_task.py
+++ b/fescueknot/node/roster_task.py
@@ -17,6 +17,7 @@
 from fescueknot.idempotency.member import KeyMember
 from fescueknot.idempotency.procedures import RosterProcedure
 from fescueknot.membership.published import PublishedMembership
+from fescueknot.membership.task_start import start_task
 from fescueknot.node.locked_key_member import LockedKeyMember
 from fescueknot.node.member_monitor import MemberMonitor
 from fescueknot.node.runtime import Runtime
@@ -63,7 +64,7 @@
 
     def start(self, executor: Executor) -> 'Future[None]':
         """Run on a thread of ``executor``."""
-        return executor.submit(self._run)
+        return start_task(executor, 'keys', self._run)
 
     def stop(self) -> None:
         """Stop the task."""
--- a/fescueknot/node/rules_task.py
+++ b/fescueknot/node/rules_task.py
@@ -9,6 +9,7 @@
 from fescueknot.calls import CallPolicy
 from fescueknot.gossip.documents import Document
 from fescueknot.membership.published import PublishedMembership
+from fescueknot.membership.task_start import start_task
 from fescueknot.rules.in_force import RulesInForce
 from fescueknot.rules.log_entry import (
     LogEntry,
@@ -47,7 +48,7 @@
 
     def start(self, executor: Executor) -> 'Future[None]':
         """Run on a thread of ``executor``."""
-        return executor.submit(self._run)
+        return start_task(executor, 'rules', self._run)
 
     def stop(self) -> None:
         """Stop the task."""
--- a/tests/membership/test_task.py
+++ b/tests/membership/test_task.py
@@ -14,7 +14,7 @@
 from fescueknot.membership.published import PublishedMembership
 from fescueknot.membership.rosters import bucket_key
 from fescueknot.membership.rosterwriter import RosterWriter
-from fescueknot.membership.task_start import start_logged
+from fescueknot.membership.task_start import start_task
 from fescueknot.objectapi.memory_store import MemoryStore
 from fescueknot.randomness import seeded
 from fescueknot.roster import Roster
@@ -55,8 +55,13 @@
     """An error that ends a task is logged."""
 
     def test_the_error_of_a_task_is_logged(self, caplog):
+        texts = ['1', 'no number']
+
+        def run():
+            return int(texts.pop())
+
         with ThreadPoolExecutor(1) as pool:
-            start_logged(pool, 'gossip', int, 'no number')
+            start_task(pool, 'gossip', run, pause_s=0)
         assert 'gossip: the task ended by an error' in caplog.text
         assert 'no number' in caplog.text
 
