--- a/fescueknot/decoding.py
+++ b/fescueknot/decoding.py
@@ -12,16 +12,11 @@
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 _MAX_COUNT = 1 << 53
 _MAX_PORT = 65_535
-_IPV4_PART = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
 
 # Revisions, versions, times in ms: they fit into 64 bits and a float.
 Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 # The same, or -1 for something that is not known.
 CountOrUnknown = Annotated[int, msgspec.Meta(ge=-1, le=_MAX_COUNT)]
-Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 # A port, or 0 for none.
 PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
-Ipv4 = Annotated[
-    str, msgspec.Meta(pattern=rf'^({_IPV4_PART}\.){{3}}{_IPV4_PART}\Z')
-]
 Name = Annotated[str, msgspec.Meta(max_length=256)]
--- a/fescueknot/targets/directory.py
+++ b/fescueknot/targets/directory.py
@@ -8,7 +8,7 @@
 
 from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.documents import Document
-from fescueknot.identity import Address, InstanceId
+from fescueknot.identity import Address, InstanceId, is_usable
 from fescueknot.routing.messages import Candidate, CandidateState
 from fescueknot.targets.messages import TargetEntry, TargetState
 
@@ -189,9 +189,10 @@
 def decode_entry(text: str) -> TargetEntry | None:
     """Decode a stored entry; return ``None`` if it can't be decoded."""
     try:
-        return msgspec.json.decode(text, type=TargetEntry)
+        entry = msgspec.json.decode(text, type=TargetEntry)
     except DECODE_ERRORS:
         return None
+    return entry if is_usable(entry.node) else None
 
 
 def _decode_document(document: Document) -> _ListedEntry | None:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,7 @@
 
 from tools.soak.crashing_requests import crashing_request
 from tools.soak.node import SoakNode
+from tools.soak.odd_entries import odd_entry
 from tools.soak.proxy import Mode, Proxy
 from tools.soak.target import SoakTarget
 from tools.soak.world import DRAIN_S, World
@@ -143,6 +144,7 @@
     reload,
     configure,
     store_fails,
+    odd_entry,
     store_loses,
     store_link,
     target_link,
