--- a/fescueknot/platform/nesting.py
+++ b/fescueknot/platform/nesting.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from fescueknot.errors import FescueknotError
+
 # Configurations and entries are nested less deeply, inside their listing.
 MAX_DEPTH = 40
 _CHANGE_BY_EVENT = types.MappingProxyType(
@@ -20,7 +22,7 @@
 _ENCODER = msgspec.json.Encoder(decimal_format='number')
 
 
-class UnreadableTextError(Exception):
+class UnreadableTextError(FescueknotError):
     """The text is not JSON."""
 
 
