--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -254,6 +254,10 @@
             task.cancel()
         for node in self.nodes:
             node.end()
+        kept = os.environ.get('KEEP_LOGS')
+        if kept:
+            for log in self.folder.glob('*.log'):
+                (pathlib.Path(kept) / log.name).write_bytes(log.read_bytes())
         self._temporary.cleanup()
 
 
