--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review tools/standin
-PYTHONPATH="target/deps:.:review/lib" python3 -c '
+PYTHONPATH="target/deps:.:review" python3 -c '
 import stage
 import tools.standin.platform_store
 '
--- a/review/lib/stage.py
+++ b/review/stage.py
@@ -18,7 +18,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = '127.0.0.1'
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 # The bounds of the site brujula-entries and of the page DEPLOY.md.
