Have others hold a leaving before it is acknowledged; await heartbeats

Cause: the acknowledgement was given after 0.5 s whether or not anybody else had the leaving, and a node that starts took its entry in the store for the target's own word that it serves.

Change: a leaving is acknowledged once the store or two other nodes hold it (departures, handed over by datagrams); a node that starts sends its target nothing before a heartbeat and believes the store and other nodes only where they say that it leaves; a target that is first heard of as draining gets no late arrivals; a second draining heartbeat waits for the same.

--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -14,6 +14,7 @@
 from fescueknot.objectapi.async_store import AsyncObjectStore
 from fescueknot.objectapi.messages import StoredObject
 from fescueknot.relay.adapter import Adapter
+from fescueknot.relay.datagram_exchange import DatagramExchange
 from fescueknot.relay.gossip_port import DatagramPort
 from fescueknot.relay.gossiper import Gossiper
 from fescueknot.relay.header_names import ROUTES_HEADER, TARGETS_HEADER
@@ -33,7 +34,6 @@
     document_of,
 )
 from fescueknot.relay.supervisor import Supervisor
-from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.relay.target_selector import TargetSelector
 from fescueknot.relay.targets_fetcher import TargetsFetcher
 from fescueknot.routes.in_force import RoutesInForce
@@ -64,7 +64,7 @@
         observer: Observer,
         metrics: NodeMetrics,
         rng: random.Random,
-        suspects: SuspectExchange,
+        exchanges: tuple[DatagramExchange, ...],
         on_local_entry_change: Callable[[TargetEntry | None], None],
     ) -> None:
         self._settings = settings
@@ -93,7 +93,7 @@
             directory=directory,
             observer=observer,
             rng=rng,
-            suspects=suspects,
+            exchanges=exchanges,
             status=self.status,
             freshness=freshness,
             on_change=self._replica_changed,
@@ -167,18 +167,13 @@
         """Return a client of the store that counts its calls by ``reason``."""
         return self._followers.counted_store(reason)
 
-    async def start(self) -> bool:
-        """Listen for gossip, then read routes and entries from the store.
-
-        Returns whether calls to the store failed before the entries were
-        listed.
-        """
+    async def start(self) -> None:
+        """Listen for gossip, then read routes and entries from the store."""
         if self._settings.ports.gossip:
             await self._gossiper.listen(
                 parse_address(self._settings.ports.gossip)
             )
         await self._reader.start()
-        return self._targets_subscriber.after_outage
 
     async def run(self) -> None:
         """Run gossip, store reader and fetchers until cancelled."""
--- a/fescueknot/relay/gossiper.py
+++ b/fescueknot/relay/gossiper.py
@@ -11,7 +11,7 @@
 from fescueknot.gossip.messages import AnyMessage
 from fescueknot.gossip.protocol import GossipProtocol
 from fescueknot.identity import Address
-from fescueknot.quarantine.messages import CrashEvidenceMessage
+from fescueknot.relay.datagram_exchange import DatagramExchange
 from fescueknot.relay.gossip_port import (
     AnyDatagram,
     DatagramPort,
@@ -19,7 +19,6 @@
 )
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.routes_status import RoutesStatus
-from fescueknot.relay.suspect_exchange import SuspectExchange
 from fescueknot.targets.directory import TargetDirectory
 
 _SYNC_INTERVAL_S = 1.0
@@ -32,6 +31,7 @@
 class Gossiper(DatagramReceiver):
     """Exchanges the messages of the gossip protocol with known peers.
 
+    Messages of the ``exchanges`` come and go through the same port.
     Both callbacks are called for each message received: ``on_routes_version``
     with the version of the routes in force at its sender and the sender's
     name, then ``on_change``, as documents of the replica may have changed.
@@ -46,7 +46,7 @@
         directory: TargetDirectory,
         observer: Observer,
         rng: random.Random,
-        suspects: SuspectExchange,
+        exchanges: tuple[DatagramExchange, ...],
         status: RoutesStatus,
         freshness: FreshnessBounds,
         on_change: Callable[[], None],
@@ -61,9 +61,10 @@
         self._rng = rng
         self._on_change = on_change
         self._on_routes_version = on_routes_version
-        self._suspects = suspects
+        self._exchanges = exchanges
         self._port = port
-        suspects.connect(port.send)
+        for exchange in exchanges:
+            exchange.connect(port.send)
         self._push_timer: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address) -> None:
@@ -72,10 +73,11 @@
 
     def receive(self, message: AnyDatagram, source: Address) -> None:
         """Handle a message and answer it."""
-        if isinstance(message, CrashEvidenceMessage):
-            self._suspects.receive(message, source)
-        else:
-            self._receive_documents(message, source)
+        for exchange in self._exchanges:
+            if isinstance(message, exchange.message_base):
+                exchange.receive(message, source)
+                return
+        self._receive_documents(message, source)
 
     def receive_unreadable(
         self, source: Address, error: UnreadableMessageError
@@ -103,10 +105,12 @@
 
     async def run(self) -> None:
         """Send a question about every second, until cancelled."""
-        self._suspects.ask_at_start()
+        for starting in self._exchanges:
+            starting.ask_at_start()
         while True:
             self._send_sync_request()
-            self._suspects.run_round()
+            for exchange in self._exchanges:
+                exchange.run_round()
             pause_s = _SYNC_INTERVAL_S * self._rng.uniform(0.8, 1.2)
             await asyncio.sleep(pause_s)
 
--- /dev/null
+++ b/fescueknot/relay/node_servers.py
@@ -0,0 +1,46 @@
+"""The HTTP servers of one node."""
+
+from collections.abc import Callable
+
+from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.server import Server
+from fescueknot.identity import Address
+from fescueknot.relay.settings import RelaySettings, parse_address
+
+
+class NodeServers:
+    """One server for each port of the settings, and one for metrics."""
+
+    def __init__(
+        self,
+        *,
+        callers: Handler,
+        peers: Handler,
+        ready: Handler,
+        heartbeats: Handler,
+        metrics: Handler,
+        report_error: Callable[[BaseException], None],
+    ) -> None:
+        self.callers = Server(handler=callers, report_error=report_error)
+        self.peers = Server(handler=peers, report_error=report_error)
+        self._ready = Server(handler=ready, report_error=report_error)
+        self._heartbeats = Server(handler=heartbeats, report_error=report_error)
+        self._metrics = Server(handler=metrics, report_error=report_error)
+
+    async def listen(self, settings: RelaySettings) -> None:
+        """Listen at the addresses of the settings; callers come late."""
+        ports = settings.ports
+        await _listen(self.peers, parse_address(ports.peers))
+        await _listen(self._heartbeats, parse_address(ports.heartbeats))
+        await _listen(self.callers, parse_address(ports.callers))
+        ready_address = parse_address(ports.ready)
+        await _listen(self._ready, ready_address)
+        if settings.metrics_port:
+            await _listen(
+                self._metrics,
+                Address(host=ready_address.host, port=settings.metrics_port),
+            )
+
+
+async def _listen(server: Server, address: Address) -> None:
+    await server.listen(address.host, address.port)
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -5,13 +5,12 @@
 import signal
 import sys
 
-from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
 from fescueknot.randomness import unseeded
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.caller_handler import CallerHandler
+from fescueknot.relay.departure_parts import DepartureParts
 from fescueknot.relay.dispatch import HttpDispatcher
 from fescueknot.relay.endpoints import HeartbeatHandler, ReadyHandler
 from fescueknot.relay.fault_log import FaultLog
@@ -23,6 +22,7 @@
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.metrics import MetricsHandler, NodeMetrics
+from fescueknot.relay.node_servers import NodeServers
 from fescueknot.relay.observer import LogObserver
 from fescueknot.relay.part_settings import (
     gossip_address,
@@ -39,6 +39,7 @@
 from fescueknot.relay.target_registrar import TargetRegistrar
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
 from fescueknot.routes.in_force import RoutesInForce
+from fescueknot.targets.departures import Departure
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LocalTarget
 from fescueknot.telemetry.decision_log import DecisionLog, LineBuffer
@@ -88,6 +89,13 @@
             observer=self._observer,
             rng=rng,
         )
+        self._departures = DepartureParts(
+            settings=settings,
+            directory=self._directory,
+            observer=self._observer,
+            rng=rng,
+            on_departures=self._learn_departures,
+        )
         self._runs = LocalRuns()
         self._levels = LevelsByRoute()
         self._gatekeeper = Gatekeeper(
@@ -115,6 +123,7 @@
                 probe=self._peers.probe, on_change=self._node_changed
             ),
             rng=rng,
+            departures=self._departures.book,
         )
         self._fleet_sync = FleetSync(
             settings=settings,
@@ -127,7 +136,7 @@
             observer=self._observer,
             metrics=self._metrics,
             rng=rng,
-            suspects=self._suspects.exchange,
+            exchanges=(self._suspects.exchange, self._departures.exchange),
             on_local_entry_change=lambda entry: self._registrar.entry_changed(
                 entry
             ),
@@ -142,6 +151,7 @@
             adapter=adapter,
             publisher=self._fleet_sync.publisher,
             store=self._fleet_sync.counted_store('start'),
+            departures=self._departures.exchange,
             observer=self._observer,
         )
         caller_handler = CallerHandler(
@@ -170,16 +180,18 @@
             on_routes_version=self._fleet_sync.record_version_by_host,
             updates_by_header=self._fleet_sync.updates_by_header(),
         )
-        self._caller_server = self._server(caller_handler)
-        self._peer_server = self._server(peer_handler)
-        self._ready_server = self._server(ReadyHandler(is_ready=self._is_ready))
-        self._heartbeat_server = self._server(
-            HeartbeatHandler(receive=self._registrar.receive)
+        self._servers = NodeServers(
+            callers=caller_handler,
+            peers=peer_handler,
+            ready=ReadyHandler(is_ready=self._is_ready),
+            heartbeats=HeartbeatHandler(receive=self._registrar.receive),
+            metrics=MetricsHandler(metrics=self._metrics),
+            report_error=self._faults.report,
         )
         self._stop_requested = asyncio.Event()
         self._graceful_stop = GracefulStop(
-            caller_server=self._caller_server,
-            peer_server=self._peer_server,
+            caller_server=self._servers.callers,
+            peer_server=self._servers.peers,
             caller_handler=caller_handler,
             gatekeeper=self._gatekeeper,
         )
@@ -193,7 +205,7 @@
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
         self._start_tasks()
-        await self._listen()
+        await self._servers.listen(self._settings)
         self._observer.note('node.started', pid=os.getpid())
         await self._stop_requested.wait()
         self._observer.note(
@@ -225,24 +237,6 @@
         store = self._fleet_sync.counted_store('quarantine')
         await self._suspects.run_archive(store)
 
-    def _server(self, handler: Handler) -> Server:
-        return Server(handler=handler, report_error=self._faults.report)
-
-    async def _listen(self) -> None:
-        ports = self._settings.ports
-        for server, address in (
-            (self._peer_server, ports.peers),
-            (self._heartbeat_server, ports.heartbeats),
-            (self._caller_server, ports.callers),
-            (self._ready_server, ports.ready),
-        ):
-            listen_address = parse_address(address)
-            await server.listen(listen_address.host, listen_address.port)
-        if self._settings.metrics_port:
-            metrics_server = self._server(MetricsHandler(metrics=self._metrics))
-            host = parse_address(ports.ready).host
-            await metrics_server.listen(host, self._settings.metrics_port)
-
     def _add_gauges(self) -> None:
         for name, read in (
             *sync_gauges(
@@ -270,11 +264,16 @@
 
     async def _synchronise(self) -> None:
         """Read the initial state from the store, then keep it up to date."""
-        after_outage = await self._fleet_sync.start()
+        await self._fleet_sync.start()
         listed = self._directory.entry_of(self._settings.node) is not None
-        await self._registrar.start(listed=listed, after_outage=after_outage)
+        await self._registrar.start(listed=listed)
         await self._fleet_sync.run()
 
+    def _learn_departures(self, departures: tuple[Departure, ...]) -> None:
+        self._registrar.learn_departures(departures)
+        now_s = asyncio.get_running_loop().time()
+        self._selector.exclude(departures, now_s)
+
     def _node_changed(self, node: Address, reachable: bool) -> None:
         event = 'target.node_back' if reachable else 'target.node_lost'
         self._observer.note(event, peer=str(node))
--- a/fescueknot/relay/suspect_peers.py
+++ b/fescueknot/relay/random_peers.py
@@ -1,4 +1,4 @@
-"""Which nodes are told of suspect requests, and how often."""
+"""Nodes chosen by chance for news, and how often they are told."""
 
 import random
 
@@ -11,7 +11,7 @@
 _MAX_PUSHES_AT_ONCE = 60.0
 
 
-class SuspectPeers:
+class RandomPeers:
     """Chooses other nodes by chance; those that don't gossip are left out."""
 
     def __init__(
@@ -27,6 +27,11 @@
         self._directory = directory
         self._rng = rng
 
+    @property
+    def fleet_size(self) -> int:
+        """Return the number of nodes in the directory."""
+        return len(self._directory)
+
     @property
     def service_size(self) -> int:
         """Return the number of targets of the local target's service."""
--- a/fescueknot/relay/store_subscribers.py
+++ b/fescueknot/relay/store_subscribers.py
@@ -106,7 +106,6 @@
     """Passes target entries from the store to the replica, as documents.
 
     ``on_change`` is called after each listing or change passed on.
-    ``after_outage`` is true if calls failed just before the last listing.
     """
 
     def __init__(
@@ -120,11 +119,9 @@
         super().__init__(kind=kind, observer=observer)
         self._replica = replica
         self._on_change = on_change
-        self.after_outage = False
 
     def apply_listing(self, listing: Listing) -> None:
         """Pass all entries to the replica."""
-        self.after_outage = not self.reachable
         self._mark_reachable(listing.revision)
         # The listing is whole, so entries missing from it were removed. A
         # replica that was empty knows of no removals up to this revision, so
--- a/fescueknot/relay/suspect_exchange.py
+++ b/fescueknot/relay/suspect_exchange.py
@@ -17,13 +17,15 @@
 from fescueknot.quarantine.evidence import TargetStart
 from fescueknot.quarantine.messages import (
     AnyCrashEvidence,
+    CrashEvidenceMessage,
     CrashEvidencePush,
     CrashEvidenceReply,
     CrashEvidenceRequest,
     SuspectRecord,
 )
+from fescueknot.relay.datagram_exchange import DatagramExchange, Send
 from fescueknot.relay.observer import Observer
-from fescueknot.relay.suspect_peers import PushAllowance, SuspectPeers
+from fescueknot.relay.random_peers import PushAllowance, RandomPeers
 from fescueknot.targets.directory import TargetDirectory
 
 # Nodes told at once of a crash at the local target, and by each node to which
@@ -45,7 +47,7 @@
 )
 
 
-class SuspectExchange:
+class SuspectExchange(DatagramExchange):
     """Merges and spreads the records of a :class:`SuspectBook`.
 
     ``service`` is that of the local target, ``local_address`` the address of
@@ -54,6 +56,8 @@
     target.
     """
 
+    message_base = CrashEvidenceMessage
+
     def __init__(
         self,
         *,
@@ -70,22 +74,20 @@
         self._service = service
         self._observer = observer
         self._rng = rng
-        self._peers = SuspectPeers(
+        self._peers = RandomPeers(
             service=service,
             local_address=local_address,
             directory=directory,
             rng=rng,
         )
         self._push_allowance = PushAllowance()
-        self._send: Callable[[AnyCrashEvidence, Address], None] | None = None
+        self._send: Send | None = None
         self._held: dict[str, HeldRequest] = {}
         self._own_crashes: collections.deque[TargetStart] = collections.deque(
             maxlen=_MAX_OWN_CRASHES
         )
 
-    def connect(
-        self, send: Callable[[AnyCrashEvidence, Address], None]
-    ) -> None:
+    def connect(self, send: Send) -> None:
         """Set the function that sends a message to an address."""
         self._send = send
 
--- a/fescueknot/relay/target_selector.py
+++ b/fescueknot/relay/target_selector.py
@@ -27,6 +27,7 @@
 from fescueknot.routing.picker import PickerSettings, TargetPicker
 from fescueknot.routing.record import RecordSettings
 from fescueknot.routing.subset import SubsetSettings, Viewpoint
+from fescueknot.targets.departures import Departure, DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 
 _MS_PER_S = 1000
@@ -67,7 +68,10 @@
 
 
 class TargetSelector:
-    """Keeps one target picker and one retry budget per service."""
+    """Keeps one target picker and one retry budget per service.
+
+    Targets in ``departures`` are left out, whatever the directory says.
+    """
 
     def __init__(
         self,
@@ -78,8 +82,10 @@
         retry_budget: SharedBudgetSettings,
         reachability: Reachability,
         rng: random.Random,
+        departures: DepartureBook,
     ) -> None:
         self._directory = directory
+        self._departures = departures
         self._routes = routes
         self._viewpoint = viewpoint
         self._budget_settings = retry_budget
@@ -95,6 +101,18 @@
         for service in services.intersection(self._pickers):
             self._update(service, now_s)
 
+    def exclude(self, departures: tuple[Departure, ...], now_s: float) -> None:
+        """Stop picking targets that were added to the departures."""
+        instances = {departure.instance for departure in departures}
+        self.refresh(
+            {
+                entry.service
+                for entry in self._directory.all_entries()
+                if entry.instance in instances
+            },
+            now_s,
+        )
+
     def pick(
         self,
         service: str,
@@ -179,6 +197,11 @@
         node = self._directory.address_of(instance)
         return node is None or self._reachability.is_unreachable(node)
 
+    def _is_leaving(self, instance: InstanceId) -> bool:
+        return self.announcements.is_leaving(
+            instance
+        ) or self._departures.has_left(instance.name, instance.incarnation)
+
     def _picker(self, service: str, now_s: float) -> TargetPicker:
         if service not in self._pickers:
             self._update(service, now_s)
@@ -202,7 +225,7 @@
                     ),
                 )
                 for candidate in candidates
-                if not self.announcements.is_leaving(candidate.instance)
+                if not self._is_leaving(candidate.instance)
             ),
             callers=len(self._directory),
         )
--- a/fescueknot/targets/local_target.py
+++ b/fescueknot/targets/local_target.py
@@ -1,7 +1,9 @@
 """State of the target on the local host, from its heartbeats.
 
-No call is sent to a target that neither a heartbeat nor the store has listed,
-nor to one that began to leave longer ago than late arrivals are accepted.
+No call is sent to a target before its own heartbeat, nor to one that began to
+leave longer ago than late arrivals are accepted. The store and other nodes are
+believed when they say that a target leaves, never that it serves: that may
+date from before it left.
 """
 
 import enum
@@ -72,16 +74,14 @@
         return self._update(heartbeat, current, now_s)
 
     def restore(self, stored: Heartbeat, now_s: float) -> bool:
-        """Restore the target from its stored entry, if it has not left.
+        """Restore a target that leaves from its stored entry.
 
-        A target that was stored as leaving gets no more calls, since it is
-        unknown when it began to leave. Returns whether it was restored.
+        One that was stored as serving is not restored: it may have left
+        since. Returns whether it was restored.
         """
-        if self._has_left(stored):
+        if stored.state is TargetState.SERVING or self._has_left(stored):
             return False
         self._start(stored, now_s)
-        if stored.state is TargetState.DRAINING:
-            self._leaving_since_s = now_s - self.bounds.accept_s
         return True
 
     def receive_leave(self, instance: str, now_s: float, wall_ms: int) -> bool:
@@ -89,13 +89,37 @@
 
         Also recorded for a target without a heartbeat until now, since the
         store may still list it. Its starts up to ``wall_ms`` (Unix
-        milliseconds) are not accepted any more.
+        milliseconds) are not accepted any more, nor is the current one, whose
+        clock may be ahead.
         """
-        self._left_at_ms_by_instance[instance] = wall_ms
-        if self._current is None or self._current.instance != instance:
-            return False
-        if self._leaving_since_s is None:
+        current = self._current
+        is_current = current is not None and current.instance == instance
+        until_ms = max(wall_ms, current.started_ms) if is_current else wall_ms
+        self._left_at_ms_by_instance[instance] = until_ms
+        if is_current and self._leaving_since_s is None:
             self._leaving_since_s = now_s
+        return is_current
+
+    def left_until_ms(self, instance: str) -> int:
+        """Return the time up to which starts of an instance have left."""
+        return self._left_at_ms_by_instance.get(instance, 0)
+
+    def receive_departure(
+        self, instance: str, until_ms: int, now_s: float
+    ) -> bool:
+        """Record another node's word that starts of a target have left.
+
+        It is unknown when they began to leave, so no call is sent to them any
+        more. Returns whether the current start was not known to leave.
+        """
+        known_ms = self.left_until_ms(instance)
+        self._left_at_ms_by_instance[instance] = max(known_ms, until_ms)
+        current = self._current
+        if current is None or self._leaving_since_s is not None:
+            return False
+        if not self._has_left(current):
+            return False
+        self._leaving_since_s = now_s - self.bounds.accept_s
         return True
 
     def receive_leaving_answer(
@@ -147,9 +171,11 @@
         return left_ms is not None and heartbeat.started_ms <= left_ms
 
     def _start(self, heartbeat: Heartbeat, now_s: float) -> None:
+        """Take over a start; if it leaves, it is unknown since when."""
         self._current = heartbeat
-        leaving = heartbeat.state is TargetState.DRAINING
-        self._leaving_since_s = now_s if leaving else None
+        self._leaving_since_s = None
+        if heartbeat.state is TargetState.DRAINING:
+            self._leaving_since_s = now_s - self.bounds.accept_s
 
     def _update(
         self, heartbeat: Heartbeat, current: Heartbeat, now_s: float
--- a/tests/relay/caller_handlers.py
+++ b/tests/relay/caller_handlers.py
@@ -21,6 +21,7 @@
 from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
+from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from tests.relay.fakes import (
     RecordingObserver,
@@ -86,6 +87,7 @@
     route = Route(**{**fields, **changes})
     routes.offer(Configuration(version=1, routes=(route,)))
     selector = TargetSelector(
+        departures=DepartureBook(),
         directory=make_directory(targets),
         routes=routes,
         viewpoint=viewpoint_of(name='me', place=HERE),
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -31,6 +31,7 @@
 from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
+from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LeavingBounds, LocalTarget
 from fescueknot.targets.messages import Heartbeat, TargetEntry
@@ -234,6 +235,7 @@
         peers = _InMemoryPeers(fleet=fleet, observer=self.observer)
         self._directory = directory
         selector = TargetSelector(
+            departures=DepartureBook(),
             directory=directory,
             routes=routes,
             viewpoint=viewpoint_of(name=f'n{self.port}', place=HERE),
--- a/tests/relay/test_target_selector.py
+++ b/tests/relay/test_target_selector.py
@@ -8,6 +8,7 @@
 from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
 from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
+from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from tests.relay.fakes import target_document, target_documents
 
@@ -39,6 +40,7 @@
     reachability = _FakeReachability()
     rng = seeded(seed=1)
     selector = TargetSelector(
+        departures=DepartureBook(),
         directory=directory,
         routes=RoutesInForce(rng=rng),
         viewpoint=viewpoint_of(name='me', place=_PLACE),
