Play drills, kills of all nodes and leavings by notice in the soak

Change: faults store_drill, kill_all and leave. A node that two faults have killed is started once. Faults of targets moved to a module of their own.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,13 +8,19 @@
 from tools.soak.node import SoakNode
 from tools.soak.odd_entries import odd_entry
 from tools.soak.proxy import Mode, Proxy
-from tools.soak.target import SoakTarget
-from tools.soak.world import DRAIN_S, World
+from tools.soak.target_faults import (
+    leave,
+    leave_by_answers,
+    limit,
+    lose_answers,
+    release,
+)
+from tools.soak.world import World
 
 _RESTART_S = 0.5
 _SHORT_S = (0.3, 2.5)
-_LIMITED_S = (6.0, 9.0)
-_LIMITS_PER_S = (0, 2.5, 8)
+_COPY_AGE_S = (0.5, 6.0)
+_AWAY_S = (0.1, 1.5)
 Fault = Callable[[World, int], Awaitable[None]]
 
 
@@ -22,6 +28,9 @@
     while node.is_running:
         await asyncio.sleep(0.05)
     await asyncio.sleep(_RESTART_S)
+    if node.is_running:
+        # Another fault has killed it too and was first.
+        return
     world.excuse(node)
     node.start()
 
@@ -40,6 +49,14 @@
     await _restart(world, node)
 
 
+async def kill_all(world: World, index: int) -> None:
+    """SIGKILL all nodes at once; they start again."""
+    for node in world.nodes:
+        node.send(signal.SIGKILL)
+    restarts = (_restart(world, killed) for killed in world.nodes)
+    await asyncio.gather(*restarts)
+
+
 async def stop(world: World, index: int) -> None:
     """SIGTERM a node; it starts again."""
     node = world.nodes[index]
@@ -97,44 +114,12 @@
     world.nodes[index].target.reset()
 
 
-async def lose_answers(world: World, index: int) -> None:
-    """Let a target run requests and lose some answers."""
-    target = world.targets[index]
-    target.lose_answers = 0.3
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    target.lose_answers = 0
-
-
-async def release(world: World, index: int) -> None:
-    """Let a target drain and start again as a new one."""
-    target: SoakTarget = world.targets[index]
-    known_as = world.nodes[index].target.address
-    try:
-        await asyncio.wait_for(target.drain(known_as), 8)
-    except TimeoutError:
-        return
-    finally:
-        # It serves for a while longer than it promised to.
-        await asyncio.sleep(DRAIN_S + 1)
-        target.renew()
-
-
-async def limit(world: World, index: int) -> None:
-    """Let a target announce a rate limit for a while."""
-    target = world.targets[index]
-    instance = target.instance
-    target.announce_limit(world.rng.choice(_LIMITS_PER_S))
-    await asyncio.sleep(world.rng.uniform(*_LIMITED_S))
-    if target.instance == instance:
-        target.announce_limit(None)
-
-
-async def leave_by_answers(world: World, index: int) -> None:
-    """Let a target leave that says so in its answers alone."""
-    target = world.targets[index]
-    target.announce_leaving()
-    await asyncio.sleep(DRAIN_S + world.rng.uniform(*_SHORT_S))
-    target.renew()
+async def store_drill(world: World, index: int) -> None:
+    """Let the store come back from an older copy."""
+    await world.store.drill(
+        copy_age_s=world.rng.uniform(*_COPY_AGE_S),
+        away_s=world.rng.uniform(*_AWAY_S),
+    )
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -151,6 +136,9 @@
     reset_target_link,
     lose_answers,
     release,
+    leave,
+    kill_all,
+    store_drill,
     limit,
     leave_by_answers,
     crashing_request,
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -90,7 +90,8 @@
             address=node, settings=ClientSettings(connect_timeout_s=0.3)
         )
         while True:
-            if self._left_s is None and not self.is_down:
+            is_silent = self._left_s is not None or self.is_down
+            if self._state != 'left' and not is_silent:
                 await self._beat(known_as)
             await asyncio.sleep(_BEAT_S)
 
@@ -101,6 +102,21 @@
             await asyncio.sleep(_BEAT_S)
         self._left_s = asyncio.get_running_loop().time()
 
+    async def leave(self) -> None:
+        """Say that the target has left, until it is acknowledged.
+
+        It has not reported that it drains, and sends no heartbeat any more.
+        """
+        self._state = 'left'
+        notice = Request(
+            method='DELETE',
+            target=f'/v1/instances/{self.instance}',
+            headers=(('host', 'node'),),
+        )
+        while not await self._is_acknowledged(notice):
+            await asyncio.sleep(_BEAT_S)
+        self._left_s = asyncio.get_running_loop().time()
+
     async def answer(self, request: Request, peer: str) -> Response | None:
         """Run one request."""
         attempt = request.header(HEADERS.attempt) or ''
@@ -172,6 +188,9 @@
             headers=(('host', 'node'),),
             body=msgspec.json.encode(body),
         )
+        return await self._is_acknowledged(request)
+
+    async def _is_acknowledged(self, request: Request) -> bool:
         instance = self.instance
         try:
             response = await asyncio.wait_for(self._node.exchange(request), 1)
