--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -3,18 +3,19 @@
 import abc
 import asyncio
 import logging
-import types
 from collections.abc import Callable
 
-from fescueknot.httpio import parsing
-from fescueknot.httpio.encoding import encode_response
+from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
+from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import (
     AnswerFuture,
     PipelinedRequest,
     RequestPipeline,
 )
+from fescueknot.httpio.request_reader import RequestReader
 from fescueknot.httpio.timer import Timer
 
 _LOG = logging.getLogger('fescueknot.httpio')
@@ -33,19 +34,6 @@
 _STALLED_BODY_TIMEOUT_S = 15.0
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _REQUEST_TIMEOUT_STATUS = 408
-_PARSE_ERRORS = (
-    parsing.HeadersTooLargeError,
-    parsing.BodyTooLargeError,
-    parsing.MalformedError,
-)
-
-_STATUS_BY_ERROR = types.MappingProxyType(
-    {
-        parsing.HeadersTooLargeError: 431,
-        parsing.BodyTooLargeError: 413,
-        parsing.MalformedError: 400,
-    }
-)
 
 
 class ConnectionOwner(abc.ABC):
@@ -56,6 +44,7 @@
     """
 
     draining = False
+    buffers: BufferBudget
 
     @abc.abstractmethod
     def connection_opened(self, connection: 'ServerConnection') -> None:
@@ -75,17 +64,22 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """Reads requests and writes the responses in the order of the requests."""
+    """Reads requests and writes the responses in the order of the requests.
+
+    What it holds of them counts towards the ``buffers`` of its owner. Requests
+    that find no room are refused before a handler sees them.
+    """
 
     def __init__(self, *, handler: Handler, owner: ConnectionOwner) -> None:
         self._handler = handler
         self._owner = owner
         limits: Limits = handler.limits()
         self._header_timeout_s = limits.header_timeout_s
-        self._parser = parsing.RequestParser(
+        self._parser = RequestParser(
             max_header_bytes=limits.header_bytes,
             max_body_bytes=limits.body_bytes,
         )
+        self._reader = RequestReader(parser=self._parser, buffers=owner.buffers)
         self._pipeline = RequestPipeline(
             handler=handler, peer='', on_end=self._request_ended
         )
@@ -110,6 +104,7 @@
         self._owner.connection_closed(self)
         self._timer.stop()
         self._pipeline.cancel_all()
+        self._reader.release()
 
     def eof_received(self) -> bool:
         """Treat a client that half-closes the connection as disconnected."""
@@ -122,10 +117,10 @@
             self._discarded_bytes += len(received)
             self._update_reading()
             return
-        refusal_status = self._parse(received)
-        if refusal_status:
+        refusal = self._reader.read(received, self._pipeline)
+        if refusal is not None:
             self._discards_input = True
-            self._pipeline.add_final_response(Response(status=refusal_status))
+            self._pipeline.add_final_response(refusal)
         elif self._parser.expects_continue:
             self._parser.expects_continue = False
             self._transport.write(_CONTINUE)
@@ -138,6 +133,7 @@
     def resume_writing(self) -> None:
         """Return to the usual time limits after the client has read."""
         self._restart_timer()
+        self._count_held()
 
     def close_when_idle(self) -> None:
         """Close the connection if no request is in progress or being read."""
@@ -148,21 +144,6 @@
         ):
             self._close_gracefully()
 
-    def _parse(self, received: bytes) -> int:
-        """Queue the parsed requests.
-
-        Returns the status to refuse malformed or too large input with, or 0.
-        """
-        refusal_status = 0
-        try:
-            complete = self._parser.feed(received)
-        except _PARSE_ERRORS as error:
-            complete = self._parser.pop_complete()
-            refusal_status = _STATUS_BY_ERROR[type(error)]
-        for request, keep_alive in complete:
-            self._pipeline.add(request, keep_alive=keep_alive)
-        return refusal_status
-
     def _process_pipeline(self) -> None:
         """Send the responses that are due and start the next handlers."""
         if self._transport.is_closing():
@@ -174,6 +155,7 @@
             self._owner.request_started(answer)
         self._restart_timer()
         self._update_reading()
+        self._count_held()
 
     def _request_ended(self, answer: AnswerFuture) -> None:
         self._owner.request_ended(answer)
@@ -187,12 +169,10 @@
             return False
         draining = self._owner.draining and not self._pipeline.any_started
         closing = not pending.keep_alive or response.closing or draining
-        encoded = encode_response(
-            response,
-            closing=closing,
-            to_head_request=pending.request.method == 'HEAD',
-        )
-        self._transport.write(encoded)
+        head = encode_response_head(response, closing=closing)
+        is_bodyless = pending.request.method == 'HEAD'
+        for piece in joined(head, b'' if is_bodyless else response.body):
+            self._transport.write(piece)
         if closing:
             self._close_gracefully()
         return not closing
@@ -205,6 +185,7 @@
         """
         self._discards_input = True
         self._pipeline.cancel_all()
+        self._count_held()
         if self._transport.is_closing():
             return
         try:
@@ -215,6 +196,10 @@
             return
         self._timer.set(_LINGER_S, self._transport.abort)
 
+    def _count_held(self) -> None:
+        unread_bytes = self._transport.get_write_buffer_size()
+        self._reader.count_held(self._pipeline, unread_bytes)
+
     def _restart_timer(self) -> None:
         """Bound the wait for the rest of a request, or for the next request.
 
--- a/fescueknot/httpio/encoding.py
+++ b/fescueknot/httpio/encoding.py
@@ -1,8 +1,9 @@
 """Encoding of requests and responses, and hop-by-hop headers."""
 
 import http
+from collections.abc import Iterator
 
-from fescueknot.httpio.messages import Headers, Request, Response
+from fescueknot.httpio.messages import Body, Headers, Request, Response
 
 # RFC 9110, 7.6.1: these headers concern one connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -21,6 +22,8 @@
 )
 # Connections answer ``Expect: 100-continue`` themselves.
 _NOT_FORWARDED = HOP_BY_HOP_HEADERS | {'expect'}
+# Longer messages are written in pieces of this size.
+PIECE_BYTES = 131_072
 _BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -38,22 +41,17 @@
     )
 
 
-def encode_request(request: Request) -> bytes:
-    """Return the bytes of a request, with ``content-length`` if needed."""
+def encode_request_head(request: Request) -> bytes:
+    """Return the head of a request, with ``content-length`` if needed."""
     lines = [f'{request.method} {request.target} HTTP/1.1']
     lines.extend(f'{name}: {value}' for name, value in request.headers)
     if request.body or request.method not in _BODYLESS_METHODS:
         lines.append(f'content-length: {len(request.body)}')
-    return _join(lines, request.body)
+    return _join(lines)
 
 
-def encode_response(
-    response: Response, *, closing: bool, to_head_request: bool = False
-) -> bytes:
-    """Return the bytes of a response, with ``content-length`` if allowed.
-
-    The body is left out if the response answers a HEAD request.
-    """
+def encode_response_head(response: Response, *, closing: bool) -> bytes:
+    """Return the head of a response, with ``content-length`` if allowed."""
     reason = response.reason or _default_reason(response.status)
     lines = [f'HTTP/1.1 {response.status} {reason}']
     lines.extend(f'{name}: {value}' for name, value in response.headers)
@@ -61,12 +59,23 @@
         lines.append(f'content-length: {len(response.body)}')
     if closing:
         lines.append('connection: close')
-    return _join(lines, b'' if to_head_request else response.body)
+    return _join(lines)
+
+
+def joined(head: bytes, body: Body) -> Iterator[Body | memoryview]:
+    """Yield a message in pieces to write; a long body is not copied."""
+    if len(body) <= PIECE_BYTES:
+        yield head + body
+        return
+    yield head
+    view = memoryview(body)
+    for start in range(0, len(body), PIECE_BYTES):
+        yield view[start : start + PIECE_BYTES]
 
 
-def _join(lines: list[str], body: bytes) -> bytes:
+def _join(lines: list[str]) -> bytes:
     lines.extend(('', ''))
-    return '\r\n'.join(lines).encode('latin-1') + body
+    return '\r\n'.join(lines).encode('latin-1')
 
 
 def _connection_options(headers: Headers) -> frozenset[str]:
--- /dev/null
+++ b/fescueknot/httpio/message_parser.py
@@ -0,0 +1,85 @@
+"""What the parsers of requests and responses have in common."""
+
+from fescueknot.httpio.messages import HEADER_OVERHEAD_BYTES, Body
+
+CHARSET = 'latin-1'
+_HEADER_SEPARATOR_BYTES = 4
+# Limits on the framing of a body: bytes for each byte of the body, and bytes
+# regardless of its size. A chunk of one byte has five bytes of framing.
+_MAX_FRAMING_PER_BODY_BYTE = 8
+_MAX_FRAMING_BYTES = 16_384
+# A longer body is handed on without a copy.
+_MAX_COPIED_BODY_BYTES = 65_536
+
+
+class HeadersTooLargeError(Exception):
+    """The head of a request exceeds the limit."""
+
+
+class BodyTooLargeError(Exception):
+    """The body of a request exceeds the limit."""
+
+
+class MalformedError(Exception):
+    """The bytes are not a valid HTTP message."""
+
+
+class MessageParser:
+    """Collects the parts of one message at a time.
+
+    ``httptools`` calls the methods named ``on_...``, once for each part that a
+    peer sends. A body of any number of parts takes the memory of its bytes.
+    """
+
+    def __init__(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._body_parts = 0
+        self._received_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return about how many bytes the unfinished message takes."""
+        overhead_bytes = len(self._headers) * HEADER_OVERHEAD_BYTES
+        return self._head_bytes + overhead_bytes + len(self._body)
+
+    def discard(self) -> None:
+        """Drop what was received of an unfinished message."""
+        self._clear()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header and count its bytes."""
+        self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
+        pair = (name.decode(CHARSET).lower(), value.decode(CHARSET))
+        self._headers.append(pair)
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        self._body += body
+        self._body_parts += 1
+
+    def _clear(self) -> None:
+        self._headers = []
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._body_parts = 0
+        self._received_bytes = 0
+
+    def _whole_body(self) -> Body:
+        """Return the body, to be followed by :meth:`_clear`."""
+        if len(self._body) > _MAX_COPIED_BODY_BYTES:
+            return self._body
+        return bytes(self._body)
+
+    def _check_framing(self, received_bytes: int, max_head_bytes: int) -> None:
+        """Limit the bytes of chunk framing and trailers.
+
+        Without a limit, a peer could send chunk extensions or trailers for
+        ever, as they count neither as head nor as body.
+        """
+        self._received_bytes += received_bytes
+        allowed_bytes = max_head_bytes + _MAX_FRAMING_BYTES
+        allowed_bytes += len(self._body) * (1 + _MAX_FRAMING_PER_BODY_BYTE)
+        if self._received_bytes > allowed_bytes:
+            raise MalformedError(f'{self._received_bytes} bytes without an end')
--- a/fescueknot/httpio/messages.py
+++ b/fescueknot/httpio/messages.py
@@ -6,6 +6,10 @@
 import msgspec
 
 Headers = tuple[tuple[str, str], ...]
+# A longer body may be a ``bytearray``, so that it isn't copied.
+Body = bytes | bytearray
+# What a header takes beside the bytes of its name and value.
+HEADER_OVERHEAD_BYTES = 192
 
 
 class Request(msgspec.Struct, frozen=True, kw_only=True):
@@ -14,7 +18,7 @@
     method: str
     target: str
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
 
     def header(self, name: str) -> str | None:
         """Return the first value of a lower-case ``name``."""
@@ -30,7 +34,7 @@
     status: int
     reason: str = ''
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
     closing: bool = False
 
     def header(self, name: str) -> str | None:
@@ -47,6 +51,15 @@
     idle_timeout_s: float = 60
 
 
+def size_bytes(message: Request | Response) -> int:
+    """Return about how many bytes of memory a message takes."""
+    head_bytes = sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        for name, value in message.headers
+    )
+    return head_bytes + len(message.body)
+
+
 def first_value(headers: Headers, name: str) -> str | None:
     """Return the first value of a lower-case ``name``."""
     for found, value in headers:
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -2,76 +2,25 @@
 
 import httptools
 
+from fescueknot.httpio.message_parser import (
+    CHARSET,
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    MalformedError,
+    MessageParser,
+)
 from fescueknot.httpio.messages import Request, Response
 
-_CHARSET = 'latin-1'
 _FIRST_FINAL_STATUS = 200
 # Default limits. They bound the memory that a server can make a client use for
 # one response.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_RESPONSE_BODY_BYTES = 16_777_216
 _MAX_INTERIM_RESPONSES = 16
-_HEADER_SEPARATOR_BYTES = 4
-# Limits on the framing of a body: bytes for each byte of the body, and bytes
-# regardless of its size. A chunk of one byte has five bytes of framing.
-_MAX_FRAMING_PER_BODY_BYTE = 8
-_MAX_FRAMING_BYTES = 16_384
-
-
-class HeadersTooLargeError(Exception):
-    """The head of a request exceeds the limit."""
-
-
-class BodyTooLargeError(Exception):
-    """The body of a request exceeds the limit."""
-
-
-class MalformedError(Exception):
-    """The bytes are not a valid HTTP message."""
-
-
-class MessageParser:
-    """Collects the parts of one message at a time.
-
-    ``httptools`` calls the methods named ``on_...``.
-    """
-
-    def __init__(self) -> None:
-        self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._received_bytes = 0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header and count its bytes."""
-        self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
-        pair = (name.decode(_CHARSET).lower(), value.decode(_CHARSET))
-        self._headers.append(pair)
-
-    def on_body(self, body: bytes) -> None:
-        """Add a part of the body and count its bytes."""
-        self._body_bytes += len(body)
-        self._body.append(body)
-
-    def _clear(self) -> None:
-        self._headers = []
-        self._body = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._received_bytes = 0
-
-    def _check_framing(self, received_bytes: int, max_head_bytes: int) -> None:
-        """Limit the bytes of chunk framing and trailers.
-
-        Without a limit, a peer could send chunk extensions or trailers for
-        ever, as they count neither as head nor as body.
-        """
-        self._received_bytes += received_bytes
-        allowed_bytes = max_head_bytes + _MAX_FRAMING_BYTES
-        allowed_bytes += self._body_bytes * (1 + _MAX_FRAMING_PER_BODY_BYTE)
-        if self._received_bytes > allowed_bytes:
-            raise MalformedError(f'{self._received_bytes} bytes without an end')
+# Limits on the parts of a body, as each takes processor time: parts regardless
+# of its size, and bytes for each further part.
+_MAX_SMALL_PARTS = 65_536
+_MIN_BYTES_PER_PART = 64
 
 
 class RequestParser(MessageParser):
@@ -151,16 +100,16 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and check its size."""
         super().on_body(body)
-        if self._body_bytes > self.max_body_bytes:
-            self._refuse(BodyTooLargeError(str(self._body_bytes)))
+        if len(self._body) > self.max_body_bytes:
+            self._refuse(BodyTooLargeError(str(len(self._body))))
 
     def on_message_complete(self) -> None:
         """Add the complete request."""
         request = Request(
-            method=self._parser.get_method().decode(_CHARSET),
-            target=self._target.decode(_CHARSET),
+            method=self._parser.get_method().decode(CHARSET),
+            target=self._target.decode(CHARSET),
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=self._whole_body(),
         )
         self._complete.append((request, self._parser.should_keep_alive()))
         self._clear()
@@ -252,8 +201,12 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and check its size."""
         super().on_body(body)
-        if self._body_bytes > self._max_body_bytes:
-            raise MalformedError(f'a body of {self._body_bytes} bytes')
+        body_bytes = len(self._body)
+        if body_bytes > self._max_body_bytes:
+            raise MalformedError(f'a body of {body_bytes} bytes')
+        further_parts = self._body_parts - _MAX_SMALL_PARTS
+        if further_parts * _MIN_BYTES_PER_PART > body_bytes:
+            raise MalformedError(f'a body in {self._body_parts} parts')
 
     def on_headers_complete(self) -> None:
         """Find out whether the body ends only with the connection."""
@@ -281,9 +234,9 @@
     def _response(self, *, closing: bool) -> Response:
         response = Response(
             status=self._parser.get_status_code(),
-            reason=self._reason.decode(_CHARSET),
+            reason=self._reason.decode(CHARSET),
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=self._whole_body(),
             closing=closing,
         )
         self._clear()
--- a/fescueknot/httpio/pipeline.py
+++ b/fescueknot/httpio/pipeline.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.messages import Request, Response
+from fescueknot.httpio.messages import Request, Response, size_bytes
 
 AnswerFuture = asyncio.Future[Response | None]
 
@@ -29,6 +29,15 @@
         """Return whether the request has been answered or has failed."""
         return self.answer is not None and self.answer.done()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return about how many bytes the request and its response take."""
+        held = size_bytes(self.request)
+        if self.is_done and not self.answer.cancelled():
+            response = self.response()
+            held += size_bytes(response) if response else 0
+        return held
+
     def response(self) -> Response | None:
         """Return the response; 500 if the handler failed."""
         if self.answer.cancelled():
@@ -61,6 +70,11 @@
         """Return the number of pending requests."""
         return len(self._pending)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return about how many bytes the pending requests take."""
+        return sum(pending.held_bytes for pending in self._pending)
+
     @property
     def any_started(self) -> bool:
         """Return whether any pending request has been started."""
--- /dev/null
+++ b/fescueknot/httpio/request_reader.py
@@ -0,0 +1,86 @@
+"""Reads requests into a pipeline, as far as there is memory for them."""
+
+import types
+
+from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.message_parser import (
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    MalformedError,
+)
+from fescueknot.httpio.messages import Response, size_bytes
+from fescueknot.httpio.parsing import RequestParser
+from fescueknot.httpio.pipeline import RequestPipeline
+
+# For requests that no handler has seen, as there is no memory for them.
+_NO_ROOM = Response(status=503, headers=(('retry-after', '0.5'),))
+_STATUS_BY_ERROR = types.MappingProxyType(
+    {
+        HeadersTooLargeError: 431,
+        BodyTooLargeError: 413,
+        MalformedError: 400,
+    }
+)
+_PARSE_ERRORS = tuple(_STATUS_BY_ERROR)
+
+
+class RequestReader:
+    """Parses the bytes of one connection; counts what it holds.
+
+    Requests that find no room are refused before a handler sees them.
+    """
+
+    def __init__(self, *, parser: RequestParser, buffers: BufferBudget) -> None:
+        self._parser = parser
+        self._buffers = buffers
+        self._share = buffers.share()
+
+    def read(
+        self, received: bytes, pipeline: RequestPipeline
+    ) -> Response | None:
+        """Add the parsed requests to the pipeline.
+
+        Returns the refusal of malformed or too large input, or of input for
+        which there is no room, ``None`` otherwise.
+        """
+        refusal = self._add_requests(received, pipeline)
+        if refusal is None and not self._has_room(
+            pipeline, self._parser.held_bytes
+        ):
+            refusal = _NO_ROOM
+        if refusal is not None:
+            self._parser.discard()
+            self.count_held(pipeline, 0)
+        return refusal
+
+    def count_held(self, pipeline: RequestPipeline, unread_bytes: int) -> None:
+        """Count what is held now.
+
+        ``unread_bytes`` are those of responses that the client has to read.
+        """
+        held_bytes = pipeline.held_bytes + self._parser.held_bytes
+        self._share.resize(held_bytes + unread_bytes)
+
+    def release(self) -> None:
+        """Give back all that was counted."""
+        self._share.resize(0)
+
+    def _add_requests(
+        self, received: bytes, pipeline: RequestPipeline
+    ) -> Response | None:
+        refusal = None
+        try:
+            complete = self._parser.feed(received)
+        except _PARSE_ERRORS as error:
+            complete = self._parser.pop_complete()
+            refusal = Response(status=_STATUS_BY_ERROR[type(error)])
+        for request, keep_alive in complete:
+            if not self._has_room(pipeline, size_bytes(request)):
+                return _NO_ROOM
+            pipeline.add(request, keep_alive=keep_alive)
+        return refusal
+
+    def _has_room(self, pipeline: RequestPipeline, added_bytes: int) -> bool:
+        if self._buffers.is_scarce and not self._share.is_large:
+            return False
+        return self._share.try_resize(pipeline.held_bytes + added_bytes)
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.pipeline import AnswerFuture
@@ -13,12 +14,18 @@
 class Server(ConnectionOwner):
     """Serves one address.
 
-    ``report_error`` is called with each exception of a handler.
+    ``report_error`` is called with each exception of a handler. Servers and
+    clients with the same ``buffers`` bound their messages together.
     """
 
     def __init__(
-        self, *, handler: Handler, report_error: Callable[[BaseException], None]
+        self,
+        *,
+        handler: Handler,
+        report_error: Callable[[BaseException], None],
+        buffers: BufferBudget | None = None,
     ) -> None:
+        self.buffers = buffers or BufferBudget()
         self._handler = handler
         self._report_error = report_error
         self._connections: set[ServerConnection] = set()
--- a/fescueknot/platform/objects.py
+++ b/fescueknot/platform/objects.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address
--- a/fescueknot/relay/dispatch.py
+++ b/fescueknot/relay/dispatch.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.encoding import end_to_end
 from fescueknot.httpio.errors import (
     AnswerLostError,
@@ -60,9 +62,17 @@
 class HttpDispatcher(Dispatcher):
     """Sends calls over HTTP, with the expected instance in a header."""
 
-    def __init__(self, *, address: Address, header_names: HeaderNames) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        header_names: HeaderNames,
+        buffers: BufferBudget | None = None,
+    ) -> None:
         self._header_names = header_names
-        self._client = Client(address=address, settings=_TARGET_CLIENT)
+        self._client = Client(
+            address=address, settings=_TARGET_CLIENT, buffers=buffers
+        )
 
     @property
     def connections_opened(self) -> int:
--- a/fescueknot/relay/node_servers.py
+++ b/fescueknot/relay/node_servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
@@ -9,7 +10,11 @@
 
 
 class NodeServers:
-    """One server for each port of the settings, and one for metrics."""
+    """One server for each port of the settings, and one for metrics.
+
+    ``buffers`` bounds the messages of callers and peers; what the platform asks
+    is answered also when that is used up.
+    """
 
     def __init__(
         self,
@@ -20,9 +25,14 @@
         heartbeats: Handler,
         metrics: Handler,
         report_error: Callable[[BaseException], None],
+        buffers: BufferBudget,
     ) -> None:
-        self.callers = Server(handler=callers, report_error=report_error)
-        self.peers = Server(handler=peers, report_error=report_error)
+        self.callers = Server(
+            handler=callers, report_error=report_error, buffers=buffers
+        )
+        self.peers = Server(
+            handler=peers, report_error=report_error, buffers=buffers
+        )
         self._ready = Server(handler=ready, report_error=report_error)
         self._heartbeats = Server(handler=heartbeats, report_error=report_error)
         self._metrics = Server(handler=metrics, report_error=report_error)
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -9,7 +9,9 @@
 
 from fescueknot.decoding import DECODE_ERRORS
 from fescueknot.gossip.documents import Transfer
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.encoding import end_to_end
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.handler import Handler
@@ -60,9 +62,14 @@
     """Client for other nodes: sends calls and fetches updates."""
 
     def __init__(
-        self, *, header_names: HeaderNames, observer: Observer
+        self,
+        *,
+        header_names: HeaderNames,
+        observer: Observer,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self._observer = observer
+        self._buffers = buffers
         self._replaced = {CALL_HEADER, ANSWER_HEADER, header_names.remaining_ms}
         self._clients: dict[Address, Client] = {}
 
@@ -141,7 +148,9 @@
     def _client(self, node: Address) -> Client:
         client = self._clients.get(node)
         if client is None:
-            client = Client(address=node, settings=_PEER_CLIENT)
+            client = Client(
+                address=node, settings=_PEER_CLIENT, buffers=self._buffers
+            )
             self._clients[node] = client
         return client
 
@@ -237,6 +246,11 @@
 
 def _decode_reply(response: Response) -> Reply:
     text = response.header(ANSWER_HEADER)
+    if text is None and response.status == _REFUSED_STATUS:
+        # The node had no memory for the call and has not read it.
+        return reply_without_response(
+            Ending.REFUSED, 'the node has no room', RefusedFor.OVERLOAD
+        )
     try:
         head = msgspec.json.decode(text or '', type=AnswerHead)
     except DECODE_ERRORS:
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -25,6 +25,7 @@
 from fescueknot.relay.node_servers import NodeServers
 from fescueknot.relay.observer import LogObserver
 from fescueknot.relay.part_settings import (
+    buffer_budget,
     gossip_address,
     leaving_bounds,
     retry_budget,
@@ -79,9 +80,11 @@
         self._reloader = SettingsReloader(
             source=source, target=self._target, observer=self._observer
         )
+        buffers = buffer_budget(settings)
         self._dispatcher = HttpDispatcher(
             address=parse_address(settings.target),
             header_names=adapter.header_names,
+            buffers=buffers,
         )
         self._suspects = SuspectParts(
             settings=settings,
@@ -112,7 +115,9 @@
             on_target_leaving=lambda: self._registrar.publish(),
         )
         self._peers = PeerNodes(
-            header_names=adapter.header_names, observer=self._observer
+            header_names=adapter.header_names,
+            observer=self._observer,
+            buffers=buffers,
         )
         self._selector = TargetSelector(
             directory=self._directory,
@@ -188,6 +193,7 @@
             heartbeats=HeartbeatHandler(receive=self._registrar.receive),
             metrics=MetricsHandler(metrics=self._metrics),
             report_error=self._faults.report,
+            buffers=buffers,
         )
         self._stop_requested = asyncio.Event()
         self._graceful_stop = GracefulStop(
--- a/fescueknot/relay/settings.py
+++ b/fescueknot/relay/settings.py
@@ -1,12 +1,15 @@
 """Settings of a node that relays calls: a JSON file, validated on load."""
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
 from fescueknot.errors import FescueknotError
 from fescueknot.identity import Address, Place
 
+PositiveMb = Annotated[float, msgspec.Meta(gt=0)]
+
 
 class RelaySettingsError(FescueknotError):
     """The settings can't be read or are not valid."""
@@ -47,7 +50,7 @@
 
 
 class RelaySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """All settings of a node."""
+    """All settings of a node; ``memory_mb`` is all that its process may use."""
 
     node: str
     service: str
@@ -58,6 +61,7 @@
     bounds: Bounds
     object_store: str
     metrics_port: int = 0
+    memory_mb: PositiveMb = 256
     log_bytes_per_s: int = 65_536
 
     @property
--- a/tests/httpio/test_client.py
+++ b/tests/httpio/test_client.py
@@ -7,7 +7,8 @@
 import pytest
 
 from fescueknot.httpio import client as client_module
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.messages import Request
 from fescueknot.identity import Address
--- a/tests/httpio/test_endless_messages.py
+++ b/tests/httpio/test_endless_messages.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.errors import AnswerLostError
 from fescueknot.httpio.handler import Handler
@@ -163,6 +165,9 @@
     def resume_reading(self):
         self.reading = True
 
+    def get_write_buffer_size(self):
+        return 0
+
     def is_closing(self):
         return self.aborted.is_set()
 
@@ -173,6 +178,9 @@
 class _NoOpOwner(ConnectionOwner):
     """Ignores all events of a connection."""
 
+    def __init__(self):
+        self.buffers = BufferBudget()
+
     def connection_opened(self, connection):
         """Ignore the event."""
 
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueknot.httpio import parsing
+from fescueknot.httpio import message_parser, parsing
 
 
 def _parser(max_header_bytes=200, max_body_bytes=10):
@@ -38,7 +38,7 @@
             b'POST /a HTTP/1.1\r\nContent-Length: 4\r\n'
             b'Transfer-Encoding: chunked\r\n\r\n'
         )
-        with pytest.raises(parsing.MalformedError):
+        with pytest.raises(message_parser.MalformedError):
             _parser().feed(raw)
 
     @pytest.mark.parametrize(
@@ -50,7 +50,7 @@
         ids=['target', 'header'],
     )
     def test_a_large_head_is_refused(self, raw):
-        with pytest.raises(parsing.HeadersTooLargeError):
+        with pytest.raises(message_parser.HeadersTooLargeError):
             _parser().feed(raw)
 
     def test_a_head_that_never_ends_is_refused(self):
@@ -58,7 +58,7 @@
         parser.feed(b'GET / HTTP/1.1\r\nA: ')
         for _ in range(180):
             parser.feed(b'b')
-        with pytest.raises(parsing.HeadersTooLargeError):
+        with pytest.raises(message_parser.HeadersTooLargeError):
             parser.feed(b'b' * 20)
 
     @pytest.mark.parametrize(
@@ -71,12 +71,12 @@
         ids=['length', 'chunks'],
     )
     def test_a_large_body_is_refused(self, raw):
-        with pytest.raises(parsing.BodyTooLargeError):
+        with pytest.raises(message_parser.BodyTooLargeError):
             _parser().feed(raw)
 
     def test_requests_before_a_malformed_request_are_returned(self):
         parser = _parser()
-        with pytest.raises(parsing.MalformedError):
+        with pytest.raises(message_parser.MalformedError):
             parser.feed(b'GET /a HTTP/1.1\r\n\r\nnonsense\r\n\r\n')
         assert [request.target for request, _ in parser.pop_complete()] == [
             '/a'
@@ -112,7 +112,7 @@
         assert parser.finish() is None
 
     def test_bytes_that_are_no_response_are_malformed(self):
-        with pytest.raises(parsing.MalformedError):
+        with pytest.raises(message_parser.MalformedError):
             parsing.ResponseParser().feed(b'\x00\x01garbage\r\n\r\n')
 
     def test_a_response_to_head_has_no_body(self):
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import HttpIoError
 from fescueknot.httpio.messages import Request
 from fescueknot.platform.headers import PLATFORM_HEADERS as HEADERS
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from fescueknot.httpio.client import Client, ClientSettings
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import HttpIoError
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Headers, Limits, Request, Response
