Wait for slow readers before linger and idle times; stop when answers are read

Cause: the linger of a closing connection, and the idle time of a kept one, ran from the moment at which an answer was written and not read; a stop counted handlers only.

Change: a state table of what a connection waits for (client_waits.py); while a response is unread it waits for the reader alone, who has to take some bytes each 15 s. A stop counts unread responses as requests in progress.

--- /dev/null
+++ b/fescueknot/httpio/client_waits.py
@@ -0,0 +1,94 @@
+"""Bounds the waits of a server's connection for its client."""
+
+import asyncio
+import enum
+import functools
+import types
+from collections.abc import Callable, Mapping
+
+from fescueknot.httpio.timer import Timer
+
+# A client that takes no byte of its response for this time is disconnected.
+_STALLED_READER_TIMEOUT_S = 15.0
+_READER_CHECK_INTERVAL_S = 1.0
+
+
+class Awaited(enum.Enum):
+    """What a connection waits for."""
+
+    REQUEST_HEAD = enum.auto()
+    REQUEST_BODY = enum.auto()
+    RESPONSE_READ = enum.auto()
+    CLOSE = enum.auto()
+    NEXT_REQUEST = enum.auto()
+    NOTHING = enum.auto()
+
+
+class TimeLimit:
+    """A time, read when a wait begins, and what is done at its end."""
+
+    def __init__(
+        self, *, limit_s: Callable[[], float], action: Callable[[], None]
+    ) -> None:
+        self.limit_s = limit_s
+        self.action = action
+
+
+class ClientWaits:
+    """Runs the time limit of what is awaited; one at a time.
+
+    A client that reads its response slowly has no limit, while it reads.
+    ``on_read`` is called when it has read some of it.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: Mapping[Awaited, TimeLimit],
+        on_read: Callable[[], None],
+    ) -> None:
+        self._limits = types.MappingProxyType(dict(limits))
+        self._on_read = on_read
+        self._timer = Timer()
+        self._current = Awaited.NOTHING
+
+    def begin(self, awaited: Awaited, transport: asyncio.Transport) -> None:
+        """Begin to wait.
+
+        The limit of a head runs from its first byte and is not extended by
+        further bytes, so that a slow client cannot occupy a connection.
+        """
+        if awaited is Awaited.REQUEST_HEAD and awaited is self._current:
+            return
+        self.stop()
+        self._current = awaited
+        limit = self._limits.get(awaited)
+        if awaited is Awaited.RESPONSE_READ:
+            self._watch(transport, stalled_s=0)
+        elif limit is not None:
+            self._timer.set(limit.limit_s(), limit.action)
+
+    def stop(self) -> None:
+        """Wait for nothing."""
+        self._timer.stop()
+        self._current = Awaited.NOTHING
+
+    def _watch(self, transport: asyncio.Transport, *, stalled_s: float) -> None:
+        check = functools.partial(
+            self._check,
+            transport,
+            transport.get_write_buffer_size(),
+            stalled_s + _READER_CHECK_INTERVAL_S,
+        )
+        self._timer.set(_READER_CHECK_INTERVAL_S, check)
+
+    def _check(
+        self, transport: asyncio.Transport, unread_bytes: int, stalled_s: float
+    ) -> None:
+        is_stalled = transport.get_write_buffer_size() == unread_bytes
+        if is_stalled and stalled_s >= _STALLED_READER_TIMEOUT_S:
+            transport.abort()
+        elif is_stalled:
+            self._watch(transport, stalled_s=stalled_s)
+        else:
+            self._on_read()
--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -3,9 +3,11 @@
 import abc
 import asyncio
 import logging
+import types
 from collections.abc import Callable
 
 from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
@@ -16,7 +18,6 @@
     RequestPipeline,
 )
 from fescueknot.httpio.request_reader import RequestReader
-from fescueknot.httpio.timer import Timer
 
 _LOG = logging.getLogger('fescueknot.httpio')
 # Pipelined requests of one connection that are read before it is throttled.
@@ -27,11 +28,11 @@
 # Bytes that are read and discarded from a client that keeps sending after its
 # last response. Then reading stops.
 _LINGER_BYTES = 1_048_576
-# A client that reads its response too slowly is disconnected after this time
-# with a full write buffer.
-_STALLED_WRITE_TIMEOUT_S = 15.0
 # A client that sends no bytes of its body for this long is disconnected.
 _STALLED_BODY_TIMEOUT_S = 15.0
+_REQUEST_PART_BY_IN_BODY = types.MappingProxyType(
+    {False: Awaited.REQUEST_HEAD, True: Awaited.REQUEST_BODY}
+)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _REQUEST_TIMEOUT_STATUS = 408
 
@@ -74,7 +75,6 @@
         self._handler = handler
         self._owner = owner
         limits: Limits = handler.limits()
-        self._header_timeout_s = limits.header_timeout_s
         self._parser = RequestParser(
             max_header_bytes=limits.header_bytes,
             max_body_bytes=limits.body_bytes,
@@ -84,8 +84,9 @@
             handler=handler, peer='', on_end=self._request_ended
         )
         self._transport: asyncio.Transport | None = None
-        self._timer = Timer()
-        self._head_timer_is_set = False
+        self._waits = ClientWaits(
+            limits=self._time_limits(limits), on_read=self._restart_timer
+        )
         self._discards_input = False
         self._discarded_bytes = 0
 
@@ -102,7 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress."""
         self._owner.connection_closed(self)
-        self._timer.stop()
+        self._waits.stop()
         self._pipeline.cancel_all()
         self._reader.release()
 
@@ -126,14 +127,15 @@
             self._transport.write(_CONTINUE)
         self._process_pipeline()
 
-    def pause_writing(self) -> None:
-        """Bound the wait for a client that reads slowly."""
-        self._timer.set(_STALLED_WRITE_TIMEOUT_S, self._transport.abort)
+    @property
+    def has_unread(self) -> bool:
+        """Return whether the client has not yet taken all of a response."""
+        return self._transport.get_write_buffer_size() > 0
 
     def resume_writing(self) -> None:
         """Return to the usual time limits after the client has read."""
         self._restart_timer()
-        self._count_held()
+        self._reader.count_held(self._pipeline, self._transport)
 
     def close_when_idle(self) -> None:
         """Close the connection if no request is in progress or being read."""
@@ -155,7 +157,7 @@
             self._owner.request_started(answer)
         self._restart_timer()
         self._update_reading()
-        self._count_held()
+        self._reader.count_held(self._pipeline, self._transport)
 
     def _request_ended(self, answer: AnswerFuture) -> None:
         self._owner.request_ended(answer)
@@ -178,14 +180,14 @@
         return not closing
 
     def _close_gracefully(self) -> None:
-        """Half-close, then wait ``_LINGER_S`` for the client to close.
+        """Half-close, then wait for the client to read and to close.
 
         Closing at once with unread bytes would reset the connection, and the
         client might lose the response.
         """
         self._discards_input = True
         self._pipeline.cancel_all()
-        self._count_held()
+        self._reader.count_held(self._pipeline, self._transport)
         if self._transport.is_closing():
             return
         try:
@@ -194,32 +196,39 @@
             _LOG.debug('httpio: cannot half-close the connection: %r', error)
             self._transport.abort()
             return
-        self._timer.set(_LINGER_S, self._transport.abort)
-
-    def _count_held(self) -> None:
-        unread_bytes = self._transport.get_write_buffer_size()
-        self._reader.count_held(self._pipeline, unread_bytes)
+        self._restart_timer()
 
     def _restart_timer(self) -> None:
-        """Bound the wait for the rest of a request, or for the next request.
+        """Bound the wait for the client: for what it has to send or to read."""
+        awaited = Awaited.NEXT_REQUEST
+        if self._parser.has_begun and not self._discards_input:
+            awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
+        elif self.has_unread:
+            awaited = Awaited.RESPONSE_READ
+        elif self._discards_input:
+            awaited = Awaited.CLOSE
+        elif self._pipeline:
+            awaited = Awaited.NOTHING
+        self._waits.begin(awaited, self._transport)
+
+    def _time_limits(self, limits: Limits) -> dict[Awaited, TimeLimit]:
+        def abort() -> None:  # noqa: WPS430
+            self._transport.abort()
 
-        The time-out of a head runs from its first byte and is not extended by
-        further bytes, so that a slow client cannot occupy a connection.
-        """
-        in_head = self._parser.has_begun and not self._parser.in_body
-        if in_head and self._head_timer_is_set:
-            return
-        self._head_timer_is_set = in_head
-        self._timer.stop()
-        if self._discards_input:
-            return
-        if in_head:
-            self._timer.set(self._header_timeout_s, self._refuse_late_head)
-        elif self._parser.in_body:
-            self._timer.set(_STALLED_BODY_TIMEOUT_S, self._transport.abort)
-        elif not self._pipeline:
-            idle_s = self._handler.limits().idle_timeout_s
-            self._timer.set(idle_s, self._close_gracefully)
+        return {
+            Awaited.REQUEST_HEAD: TimeLimit(
+                limit_s=lambda: limits.header_timeout_s,
+                action=self._refuse_late_head,
+            ),
+            Awaited.REQUEST_BODY: TimeLimit(
+                limit_s=lambda: _STALLED_BODY_TIMEOUT_S, action=abort
+            ),
+            Awaited.CLOSE: TimeLimit(limit_s=lambda: _LINGER_S, action=abort),
+            Awaited.NEXT_REQUEST: TimeLimit(
+                limit_s=lambda: self._handler.limits().idle_timeout_s,
+                action=self._close_gracefully,
+            ),
+        }
 
     def _refuse_late_head(self) -> None:
         self._discards_input = True
--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -1,5 +1,6 @@
 """Reads requests into a pipeline, as far as there is memory for them."""
 
+import asyncio
 import types
 
 from fescueknot.httpio.buffer_budget import BufferBudget
@@ -50,15 +51,15 @@
             refusal = _NO_ROOM
         if refusal is not None:
             self._parser.discard()
-            self.count_held(pipeline, 0)
+            self._share.resize(pipeline.held_bytes)
         return refusal
 
-    def count_held(self, pipeline: RequestPipeline, unread_bytes: int) -> None:
-        """Count what is held now.
-
-        ``unread_bytes`` are those of responses that the client has to read.
-        """
+    def count_held(
+        self, pipeline: RequestPipeline, transport: asyncio.Transport
+    ) -> None:
+        """Count what is held now, with responses that wait to be read."""
         held_bytes = pipeline.held_bytes + self._parser.held_bytes
+        unread_bytes = transport.get_write_buffer_size()
         self._share.resize(held_bytes + unread_bytes)
 
     def release(self) -> None:
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -37,6 +37,11 @@
         """Return the number of requests in progress."""
         return len(self._in_progress)
 
+    @property
+    def responses_unread(self) -> int:
+        """Return the number of clients that have not read all of a response."""
+        return sum(connection.has_unread for connection in self._connections)
+
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -54,10 +54,14 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     def in_progress(self) -> int:
-        """Return the number of requests in progress."""
-        return (
-            self._caller_server.requests_in_progress
-            + self._peer_server.requests_in_progress
+        """Return the number of requests in progress.
+
+        A request is in progress until its response has been read.
+        """
+        servers = (self._caller_server, self._peer_server)
+        return sum(
+            server.requests_in_progress + server.responses_unread
+            for server in servers
         )
 
     async def _finish_requests(self, deadline_s: float) -> None:
--- a/tests/httpio/test_endless_messages.py
+++ b/tests/httpio/test_endless_messages.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.client import Client
 from fescueknot.httpio.client_connection import ClientSettings
-from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
+from fescueknot.httpio.connection import ServerConnection
 from fescueknot.httpio.errors import AnswerLostError
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
+from tests.httpio.fake_transport import FakeTransport, NoOpOwner
 
 _REQUEST = Request(method='GET', target='/', headers=(('host', 'x'),))
 _HEAD_BYTES = 4096
@@ -138,62 +138,6 @@
         assert _run(scenario) < _SOCKET_BUFFER_BYTES
 
 
-class _FakeTransport(asyncio.Transport):
-    """The server's side of a connection, without a network."""
-
-    def __init__(self):
-        super().__init__()
-        self.written = bytearray()
-        self.reading = True
-        self.aborted = asyncio.Event()
-
-    def get_extra_info(self, name, default=None):
-        return ('127.0.0.1', 1) if name == 'peername' else default
-
-    def write(self, data):
-        self.written += data
-
-    def write_eof(self):
-        self.written += b'(end)'
-
-    def is_reading(self):
-        return self.reading
-
-    def pause_reading(self):
-        self.reading = False
-
-    def resume_reading(self):
-        self.reading = True
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def is_closing(self):
-        return self.aborted.is_set()
-
-    def abort(self):
-        self.aborted.set()
-
-
-class _NoOpOwner(ConnectionOwner):
-    """Ignores all events of a connection."""
-
-    def __init__(self):
-        self.buffers = BufferBudget()
-
-    def connection_opened(self, connection):
-        """Ignore the event."""
-
-    def connection_closed(self, connection):
-        """Ignore the event."""
-
-    def request_started(self, answer):
-        """Ignore the event."""
-
-    def request_ended(self, answer):
-        """Ignore the event."""
-
-
 class TestEndlessRequests:
     """Requests that never end."""
 
@@ -213,8 +157,8 @@
         monkeypatch.setattr('fescueknot.httpio.connection._LINGER_S', 3600)
 
         async def scenario():
-            transport = _FakeTransport()
-            connection = ServerConnection(handler=_Echo(), owner=_NoOpOwner())
+            transport = FakeTransport()
+            connection = ServerConnection(handler=_Echo(), owner=NoOpOwner())
             connection.connection_made(transport)
             begin, repeated = _REQUESTS[kind]
             chunk = b''.join(
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.requests_in_progress = 0
+        self.responses_unread = 0
 
     def drain(self):
         """Do nothing: there are no connections."""
@@ -112,3 +113,28 @@
     def test_all_are_sent_in_the_beginning(self):
         response, sent = _late_call(1, ANSWERED, idempotent=False)
         assert (response.status, sent) == (200, 1)
+
+
+class TestUnreadAnswers:
+    """Answers that callers have not read to the end."""
+
+    def test_the_node_waits_for_readers(self):
+        # Guards against an exit with bytes of answers in its buffers.
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.responses_unread = 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(4.5, setattr, node.server, 'responses_unread', 0)
+            await node.stop
+            return loop.time()
+
+        assert 4.5 < run_simulated(scenario) < _GRACE_S
+
+    def test_it_stops_within_the_grace_period_all_the_same(self):
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.responses_unread = 1
+            await node.stop
+            return asyncio.get_running_loop().time()
+
+        assert run_simulated(scenario) < _GRACE_S
