Count a read for the request that it belongs to, not for the last one in it

Cause: after each read all its bytes were counted for the request in progress at its end, though most belonged to those before.

Change: reads are parsed in pieces of 4 KiB; a piece in which a request ends counts for none that follows.

--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -17,6 +17,8 @@
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_RESPONSE_BODY_BYTES = 16_777_216
 _MAX_INTERIM_RESPONSES = 16
+# Requests are parsed in pieces, and the limits checked after each.
+_FEED_BYTES = 4096
 # Limits on the parts of a body, as each takes processor time: parts regardless
 # of its size, and bytes for each further part.
 _MAX_SMALL_PARTS = 65_536
@@ -45,21 +47,8 @@
         Raises one of the errors of this module; :meth:`pop_complete` then
         returns the requests that precede the error.
         """
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserCallbackError as error:
-            raise self._parse_error or MalformedError(str(error)) from error
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise MalformedError(str(error)) from error
-        if self.has_begun and not self.in_body:
-            # ``httptools`` reports a header only once it is complete.
-            self._received_head_bytes += len(received)
-            self._check_head(self._received_head_bytes)
-        if self.in_body:
-            self._check_framing(len(received), self.max_header_bytes)
+        for start in range(0, len(received), _FEED_BYTES):
+            self._feed_piece(received[start : start + _FEED_BYTES])
         return self.pop_complete()
 
     def pop_complete(self) -> list[tuple[Request, bool]]:
@@ -117,6 +106,33 @@
         self.in_body = False
         self.expects_continue = False
 
+    def _feed_piece(self, piece: bytes) -> None:
+        complete_before = len(self._complete)
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserCallbackError as error:
+            raise self._parse_error or MalformedError(str(error)) from error
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise MalformedError(str(error)) from error
+        if self.has_begun and len(self._complete) == complete_before:
+            self._check_received(len(piece))
+
+    def _check_received(self, received_bytes: int) -> None:
+        """Limit what was received of the request that is in progress.
+
+        Not counted is a piece in which another request has ended, as a part of
+        it belongs to that.
+        """
+        if self.in_body:
+            self._check_framing(received_bytes, self.max_header_bytes)
+        else:
+            # ``httptools`` reports a header only once it is complete.
+            self._received_head_bytes += received_bytes
+            self._check_head(self._received_head_bytes)
+
     def _check_head(self, received_bytes: int) -> None:
         if max(self._head_bytes, received_bytes) > self.max_header_bytes:
             self._refuse(HeadersTooLargeError(str(self._head_bytes)))
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -120,3 +120,39 @@
         parser.to_head_request = True
         found = parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n')
         assert (found[0].body, found[0].closing) == (b'', True)
+
+
+class TestPipelining:
+    """Limits on requests of which several are received at once."""
+
+    @pytest.mark.parametrize('read_bytes', [100, 4096, 65_536, 1 << 20])
+    @pytest.mark.parametrize('body_bytes', [0, 300, 50_000])
+    def test_requests_within_the_limits_are_accepted(
+        self, read_bytes, body_bytes
+    ):
+        # Guards against bytes of earlier requests that count for a later one.
+        parser = _parser(max_header_bytes=200, max_body_bytes=50_000)
+        body = b'x' * body_bytes
+        head = b'POST /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % body_bytes
+        raw = (head + body) * 20
+        found = [
+            request
+            for start in range(0, len(raw), read_bytes)
+            for request, _ in parser.feed(raw[start : start + read_bytes])
+        ]
+        lengths = [len(request.body) for request in found]
+        assert lengths == [body_bytes for _ in range(20)]
+
+    @pytest.mark.parametrize('cut', [1, 20, 45])
+    def test_a_head_may_be_cut_behind_a_long_body(self, cut):
+        parser = _parser(max_header_bytes=200, max_body_bytes=100_000)
+        head = b'POST /a HTTP/1.1\r\nContent-Length: 90000\r\n\r\n'
+        first = head + b'x' * 90_000 + head[:cut]
+        assert len(parser.feed(first)) == 1
+        assert len(parser.feed(head[cut:] + b'x' * 90_000)) == 1
+
+    def test_a_head_behind_other_requests_is_still_limited(self):
+        parser = _parser()
+        parser.feed(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nA: ')
+        with pytest.raises(message_parser.HeadersTooLargeError):
+            parser.feed(b'b' * 10_000)
