Apply changed limits of requests to connections that are open

Seen by callers (review, DENIED and CONFIG): after maxBodyBytes was raised, proper bodies on kept connections got 413.

Cause: a connection copied the limits when it was opened.

Change: they are read before each request.

Failed before, on: TestChangedLimits in tests/httpio/test_server.py with a raised limit (the other case, an unchanged one, passed). After: both pass.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -10,7 +10,7 @@
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.messages import Limits, Response
+from fescueknot.httpio.messages import Response
 from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import (
     AnswerFuture,
@@ -74,7 +74,7 @@
     def __init__(self, *, handler: Handler, owner: ConnectionOwner) -> None:
         self._handler = handler
         self._owner = owner
-        limits: Limits = handler.limits()
+        limits = handler.limits()
         self._parser = RequestParser(
             max_header_bytes=limits.header_bytes,
             max_body_bytes=limits.body_bytes,
@@ -85,7 +85,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._waits = ClientWaits(
-            limits=self._time_limits(limits), on_read=self._restart_timer
+            limits=self._time_limits(), on_read=self._restart_timer
         )
         self._discards_input = False
         self._discarded_bytes = 0
@@ -118,6 +118,9 @@
             self._discarded_bytes += len(received)
             self._update_reading()
             return
+        if not self._parser.has_begun:
+            # They may have changed since the last request.
+            self._parser.apply_limits(self._handler.limits())
         refusal = self._reader.read(received, self._pipeline)
         if refusal is not None:
             self._discards_input = True
@@ -211,13 +214,13 @@
             awaited = Awaited.NOTHING
         self._waits.begin(awaited, self._transport)
 
-    def _time_limits(self, limits: Limits) -> dict[Awaited, TimeLimit]:
+    def _time_limits(self) -> dict[Awaited, TimeLimit]:
         def abort() -> None:  # noqa: WPS430
             self._transport.abort()
 
         return {
             Awaited.REQUEST_HEAD: TimeLimit(
-                limit_s=lambda: limits.header_timeout_s,
+                limit_s=lambda: self._handler.limits().header_timeout_s,
                 action=self._refuse_late_head,
             ),
             Awaited.REQUEST_BODY: TimeLimit(
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -9,7 +9,7 @@
     MalformedError,
     MessageParser,
 )
-from fescueknot.httpio.messages import Request, Response
+from fescueknot.httpio.messages import Limits, Request, Response
 
 _FIRST_FINAL_STATUS = 200
 # Default limits. They bound the memory that a server can make a client use for
@@ -41,6 +41,11 @@
         self._parser = httptools.HttpRequestParser(self)
         self._parse_error: Exception | None = None
 
+    def apply_limits(self, limits: Limits) -> None:
+        """Set the limits on the sizes of requests."""
+        self.max_header_bytes = limits.header_bytes
+        self.max_body_bytes = limits.body_bytes
+
     def feed(self, received: bytes) -> list[tuple[Request, bool]]:
         """Return the complete requests, each with its keep-alive flag.
 
--- a/tests/httpio/test_server.py
+++ b/tests/httpio/test_server.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 
+import msgspec
 import pytest
 
 from fescueknot.httpio.handler import Handler
@@ -24,6 +25,7 @@
     def __init__(self, overlap=False):
         self.overlap = overlap
         self.seen = []
+        self.current_limits = _LIMITS
         self.cancelled = asyncio.Event()
         self.proceed = asyncio.Event()
 
@@ -40,7 +42,7 @@
         return Response(status=200, body=request.target.encode())
 
     def limits(self):
-        return _LIMITS
+        return self.current_limits
 
     def may_overlap(self, request):
         return self.overlap
@@ -243,3 +245,24 @@
             return await reader.read()
 
         assert _run(scenario).endswith(b'/a')
+
+
+class TestChangedLimits:
+    """Limits that change while a connection is kept."""
+
+    @pytest.mark.parametrize(('body_bytes', 'status'), [(100, 200), (10, 413)])
+    def test_they_apply_to_the_next_request(self, body_bytes, status):
+        # Guards against limits of an old configuration on kept connections.
+        async def scenario(handler, server, reader, writer):
+            writer.write(_get('/x'))
+            await _status(reader)
+            await reader.readexactly(len('/x'))
+            handler.current_limits = msgspec.structs.replace(
+                _LIMITS, body_bytes=body_bytes
+            )
+            head = b'POST /x HTTP/1.1\r\nContent-Length: 20\r\n\r\n'
+            writer.write(head + b'x' * 20)
+            found, _ = await _status(reader)
+            return found
+
+        assert _run(scenario) == status
