Notice clients that leave with 16 unanswered requests or more

Cause: reading was paused once 16 requests were pending, so the end of the connection was not seen.

Change: while the pipeline is full, bytes are kept unparsed, and reading is paused only beyond 64 KiB of them.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -20,8 +20,6 @@
 from fescueknot.httpio.request_reader import RequestReader
 
 _LOG = logging.getLogger('fescueknot.httpio')
-# Pipelined requests of one connection that are read before it is throttled.
-_MAX_PENDING_REQUESTS = 16
 # After the last response, a client that does not close the connection within
 # this time is disconnected.
 _LINGER_S = 1.0
@@ -90,6 +88,11 @@
         self._discards_input = False
         self._discarded_bytes = 0
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether the client has not yet taken all of a response."""
+        return self._transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
         self._transport = transport
@@ -130,11 +133,6 @@
             self._transport.write(_CONTINUE)
         self._process_pipeline()
 
-    @property
-    def has_unread(self) -> bool:
-        """Return whether the client has not yet taken all of a response."""
-        return self._transport.get_write_buffer_size() > 0
-
     def resume_writing(self) -> None:
         """Return to the usual time limits after the client has read."""
         self._restart_timer()
@@ -156,6 +154,9 @@
         while pending := self._pipeline.pop_answered():
             if not self._send(pending):
                 return
+        if self._reader.can_go_on(self._pipeline):
+            self.data_received(b'')
+            return
         for answer in self._pipeline.start():
             self._owner.request_started(answer)
         self._restart_timer()
@@ -190,6 +191,7 @@
         """
         self._discards_input = True
         self._pipeline.cancel_all()
+        self._reader.discard()
         self._reader.count_held(self._pipeline, self._transport)
         if self._transport.is_closing():
             return
@@ -243,8 +245,7 @@
     def _update_reading(self) -> None:
         """Pause or resume reading, by pending requests and discarded bytes."""
         must_pause = (
-            len(self._pipeline) >= _MAX_PENDING_REQUESTS
-            or self._discarded_bytes > _LINGER_BYTES
+            self._reader.must_pause or self._discarded_bytes > _LINGER_BYTES
         )
         switch: Callable[[], None] = self._transport.resume_reading
         if must_pause:
--- a/fescueknot/httpio/pipeline.py
+++ b/fescueknot/httpio/pipeline.py
@@ -7,6 +7,8 @@
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Request, Response, size_bytes
 
+# Pipelined requests of one connection that are parsed before the rest waits.
+_MAX_PENDING_REQUESTS = 16
 AnswerFuture = asyncio.Future[Response | None]
 
 
@@ -70,6 +72,11 @@
         """Return the number of pending requests."""
         return len(self._pending)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further request is to be taken for now."""
+        return len(self._pending) >= _MAX_PENDING_REQUESTS
+
     @property
     def held_bytes(self) -> int:
         """Return about how many bytes the pending requests take."""
--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -13,6 +13,7 @@
 from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import RequestPipeline
 
+_MAX_UNPARSED_BYTES = 65_536
 # For requests that no handler has seen, as there is no memory for them.
 _NO_ROOM = Response(status=503, headers=(('retry-after', '0.5'),))
 _STATUS_BY_ERROR = types.MappingProxyType(
@@ -28,13 +29,25 @@
 class RequestReader:
     """Parses the bytes of one connection; counts what it holds.
 
-    Requests that find no room are refused before a handler sees them.
+    Requests that find no room are refused before a handler sees them. While
+    the pipeline is full, bytes are kept unparsed, up to a limit: if reading
+    stopped at once, the end of the connection would not be seen.
     """
 
     def __init__(self, *, parser: RequestParser, buffers: BufferBudget) -> None:
         self._parser = parser
         self._buffers = buffers
         self._share = buffers.share()
+        self._unparsed = bytearray()
+
+    @property
+    def must_pause(self) -> bool:
+        """Return whether no more is to be received for now."""
+        return len(self._unparsed) > _MAX_UNPARSED_BYTES
+
+    def can_go_on(self, pipeline: RequestPipeline) -> bool:
+        """Return whether there is room now for bytes that waited for it."""
+        return bool(self._unparsed) and not pipeline.is_full
 
     def read(
         self, received: bytes, pipeline: RequestPipeline
@@ -44,13 +57,16 @@
         Returns the refusal of malformed or too large input, or of input for
         which there is no room, ``None`` otherwise.
         """
-        refusal = self._add_requests(received, pipeline)
+        self._unparsed += received
+        if pipeline.is_full or not self._unparsed:
+            return None
+        refusal = self._add_requests(self._take_unparsed(), pipeline)
         if refusal is None and not self._has_room(
             pipeline, self._parser.held_bytes
         ):
             refusal = _NO_ROOM
         if refusal is not None:
-            self._parser.discard()
+            self.discard()
             self._share.resize(pipeline.held_bytes)
         return refusal
 
@@ -59,13 +75,24 @@
     ) -> None:
         """Count what is held now, with responses that wait to be read."""
         held_bytes = pipeline.held_bytes + self._parser.held_bytes
+        held_bytes += len(self._unparsed)
         unread_bytes = transport.get_write_buffer_size()
         self._share.resize(held_bytes + unread_bytes)
 
+    def discard(self) -> None:
+        """Drop what was received and is no complete request."""
+        self._parser.discard()
+        self._unparsed.clear()
+
     def release(self) -> None:
         """Give back all that was counted."""
         self._share.resize(0)
 
+    def _take_unparsed(self) -> bytes:
+        unparsed = bytes(self._unparsed)
+        self._unparsed.clear()
+        return unparsed
+
     def _add_requests(
         self, received: bytes, pipeline: RequestPipeline
     ) -> Response | None:
--- a/tests/httpio/test_server.py
+++ b/tests/httpio/test_server.py
@@ -79,6 +79,11 @@
     return int(head.split()[1]), head
 
 
+async def _body_of(reader):
+    await _status(reader)
+    return await reader.readexactly(len('/x'))
+
+
 class TestOrder:
     """Order of pipelined requests."""
 
@@ -255,8 +260,7 @@
         # Guards against limits of an old configuration on kept connections.
         async def scenario(handler, server, reader, writer):
             writer.write(_get('/x'))
-            await _status(reader)
-            await reader.readexactly(len('/x'))
+            await _body_of(reader)
             handler.current_limits = msgspec.structs.replace(
                 _LIMITS, body_bytes=body_bytes
             )
@@ -266,3 +270,29 @@
             return found
 
         assert _run(scenario) == status
+
+
+class TestManyPipelinedRequests:
+    """More requests at once than are started."""
+
+    @pytest.mark.parametrize('count', [4, 16, 20, 200])
+    def test_all_are_answered(self, count):
+        async def scenario(handler, server, reader, writer):
+            writer.write(_get('/x') * count)
+            return [(await _body_of(reader)) for _ in range(count)]
+
+        assert _run(scenario) == [b'/x' for _ in range(count)]
+
+    @pytest.mark.parametrize('count', [4, 16, 20, 200])
+    def test_all_are_cancelled_when_the_client_leaves(self, count):
+        # Guards against work for a client that has left, unseen as reading
+        # was paused.
+        async def scenario(handler, server, reader, writer):
+            writer.write(_get('/slow') * count)
+            while not handler.seen:
+                await asyncio.sleep(0.001)
+            writer.close()
+            while server.requests_in_progress:
+                await asyncio.sleep(0.001)
+
+        _run(scenario, overlap=True)
