--- a/fescueknot/relay/gauges.py
+++ b/fescueknot/relay/gauges.py
@@ -3,9 +3,12 @@
 import types
 from collections.abc import Callable, Mapping
 
+from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.objectapi.revisions import counter_of
+from fescueknot.relay.dispatch import HttpDispatcher
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
+from fescueknot.relay.graceful_stop import GracefulStop
 from fescueknot.relay.suspect_requests import SuspectRequests
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory
@@ -27,6 +30,19 @@
     )
 
 
+def message_gauges(
+    stop: GracefulStop, dispatcher: HttpDispatcher, buffers: BufferBudget
+) -> _Gauges:
+    """Return gauges of the messages that a node holds, by name."""
+    return types.MappingProxyType(
+        {
+            'calls_in_progress': stop.in_progress,
+            'target_connections_opened': lambda: dispatcher.connections_opened,
+            'buffered_bytes': lambda: buffers.used_bytes,
+        }
+    )
+
+
 def sync_gauges(
     routes: RoutesInForce, directory: TargetDirectory, fleet_sync: FleetSync
 ) -> _Gauges:
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -1,6 +1,7 @@
 """Assembles, starts and stops the process of one node."""
 
 import asyncio
+import functools
 import os
 import signal
 import sys
@@ -16,9 +17,15 @@
 from fescueknot.relay.fault_log import FaultLog
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
-from fescueknot.relay.gauges import gate_gauges, suspect_gauges, sync_gauges
+from fescueknot.relay.gauges import (
+    gate_gauges,
+    message_gauges,
+    suspect_gauges,
+    sync_gauges,
+)
 from fescueknot.relay.gossip_port import GossipPort
 from fescueknot.relay.graceful_stop import GracefulStop
+from fescueknot.relay.housekeeping import Housekeeping
 from fescueknot.relay.levels_by_route import LevelsByRoute
 from fescueknot.relay.load_reporter import LoadReporter
 from fescueknot.relay.metrics import MetricsHandler, NodeMetrics
@@ -45,12 +52,6 @@
 from fescueknot.targets.local_target import LocalTarget
 from fescueknot.telemetry.decision_log import DecisionLog, LineBuffer
 
-# Log lines that are left at the end are flushed several times: the pipe may be
-# full at first.
-_FINAL_FLUSHES = 5
-_FINAL_FLUSH_INTERVAL_S = 0.02
-_HOUSEKEEPING_INTERVAL_S = 0.25
-
 
 class NodeProcess:
     """Components of one node and the tasks that run them."""
@@ -80,11 +81,11 @@
         self._reloader = SettingsReloader(
             source=source, target=self._target, observer=self._observer
         )
-        buffers = buffer_budget(settings)
+        self._buffers = buffer_budget(settings)
         self._dispatcher = HttpDispatcher(
             address=parse_address(settings.target),
             header_names=adapter.header_names,
-            buffers=buffers,
+            buffers=self._buffers,
         )
         self._suspects = SuspectParts(
             settings=settings,
@@ -117,7 +118,7 @@
         self._peers = PeerNodes(
             header_names=adapter.header_names,
             observer=self._observer,
-            buffers=buffers,
+            buffers=self._buffers,
         )
         self._selector = TargetSelector(
             directory=self._directory,
@@ -193,7 +194,7 @@
             heartbeats=HeartbeatHandler(receive=self._registrar.receive),
             metrics=MetricsHandler(metrics=self._metrics),
             report_error=self._faults.report,
-            buffers=buffers,
+            buffers=self._buffers,
         )
         self._stop_requested = asyncio.Event()
         self._graceful_stop = GracefulStop(
@@ -202,6 +203,12 @@
             caller_handler=caller_handler,
             gatekeeper=self._gatekeeper,
         )
+        self._housekeeping = Housekeeping(
+            peers=self._peers,
+            dispatcher=self._dispatcher,
+            log=self._log,
+            reloader=self._reloader,
+        )
         self._add_gauges()
 
     async def run(self) -> None:
@@ -224,40 +231,35 @@
         stop_task.add_done_callback(self._task_ended)
         await asyncio.wait((stop_task,))
         self._observer.note('node.stopped')
-        for _ in range(_FINAL_FLUSHES):
-            self._log.flush()
-            await asyncio.sleep(_FINAL_FLUSH_INTERVAL_S)
+        await self._housekeeping.finish()
 
     def _start_tasks(self) -> None:
         """Start the tasks that run until the process ends."""
         works = {
             'synchronisation': self._synchronise,
             'entry publisher': self._fleet_sync.publisher.run,
-            'quarantine archive': self._run_archive,
-            'housekeeping': self._run_housekeeping,
+            'quarantine archive': functools.partial(
+                self._suspects.run_archive,
+                self._fleet_sync.counted_store('quarantine'),
+            ),
+            'housekeeping': self._housekeeping.run,
         }
         for name, work in works.items():
             task = self._supervisor.start(name, work)
             task.add_done_callback(self._task_ended)
 
-    async def _run_archive(self) -> None:
-        store = self._fleet_sync.counted_store('quarantine')
-        await self._suspects.run_archive(store)
-
     def _add_gauges(self) -> None:
-        for name, read in (
-            *sync_gauges(
-                self._routes, self._directory, self._fleet_sync
-            ).items(),
-            ('calls_in_progress', self._graceful_stop.in_progress),
-            *gate_gauges(self._gatekeeper).items(),
-            *suspect_gauges(self._suspects.requests).items(),
-            (
-                'target_connections_opened',
-                lambda: self._dispatcher.connections_opened,
+        groups = (
+            sync_gauges(self._routes, self._directory, self._fleet_sync),
+            message_gauges(
+                self._graceful_stop, self._dispatcher, self._buffers
             ),
-        ):
-            self._metrics.gauge(name, read)
+            gate_gauges(self._gatekeeper),
+            suspect_gauges(self._suspects.requests),
+        )
+        for group in groups:
+            for name, read in group.items():
+                self._metrics.gauge(name, read)
         self._metrics.labelled_gauge(
             'quarantine_left_s',
             'fingerprint',
@@ -289,12 +291,3 @@
         if not task.cancelled() and task.exception() is not None:
             self._faults.report(task.exception())
             self._stop_requested.set()
-
-    async def _run_housekeeping(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
-            self._peers.prune()
-            self._dispatcher.prune(loop.time())
-            self._log.flush()
-            self._reloader.reload_if_modified()
