Bound what a node remembers of targets that left; copy no bytes without need

Departures of the whole fleet now reach each node's local target, which kept all of them; it keeps 4,096. Bytes are joined with those that waited only where some did wait.

--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -57,10 +57,10 @@
         Returns the refusal of malformed or too large input, or of input for
         which there is no room, ``None`` otherwise.
         """
-        self._unparsed += received
-        if pipeline.is_full or not self._unparsed:
+        if pipeline.is_full:
+            self._unparsed += received
             return None
-        refusal = self._add_requests(self._take_unparsed(), pipeline)
+        refusal = self._add_requests(self._next_bytes(received), pipeline)
         if refusal is None and not self._has_room(
             pipeline, self._parser.held_bytes
         ):
@@ -88,10 +88,13 @@
         """Give back all that was counted."""
         self._share.resize(0)
 
-    def _take_unparsed(self) -> bytes:
+    def _next_bytes(self, received: bytes) -> bytes:
+        """Return what is to be parsed next, bytes that waited first."""
+        if not self._unparsed:
+            return received
         unparsed = bytes(self._unparsed)
         self._unparsed.clear()
-        return unparsed
+        return unparsed + received
 
     def _add_requests(
         self, received: bytes, pipeline: RequestPipeline
--- a/fescueknot/targets/local_target.py
+++ b/fescueknot/targets/local_target.py
@@ -12,6 +12,9 @@
 
 from fescueknot.targets.messages import Heartbeat, TargetState
 
+# Of the whole fleet, as other nodes tell of theirs; the oldest are dropped.
+_MAX_LEFT_INSTANCES = 4096
+
 
 class Availability(enum.StrEnum):
     """Which calls may be sent to the target."""
@@ -95,7 +98,7 @@
         current = self._current
         is_current = current is not None and current.instance == instance
         until_ms = max(wall_ms, current.started_ms) if is_current else wall_ms
-        self._left_at_ms_by_instance[instance] = until_ms
+        self._set_left(instance, until_ms)
         if is_current and self._leaving_since_s is None:
             self._leaving_since_s = now_s
         return is_current
@@ -113,7 +116,7 @@
         more. Returns whether the current start was not known to leave.
         """
         known_ms = self.left_until_ms(instance)
-        self._left_at_ms_by_instance[instance] = max(known_ms, until_ms)
+        self._set_left(instance, max(known_ms, until_ms))
         current = self._current
         if current is None or self._leaving_since_s is not None:
             return False
@@ -170,6 +173,13 @@
         left_ms = self._left_at_ms_by_instance.get(heartbeat.instance)
         return left_ms is not None and heartbeat.started_ms <= left_ms
 
+    def _set_left(self, instance: str, until_ms: int) -> None:
+        left_at_ms = self._left_at_ms_by_instance
+        left_at_ms.pop(instance, None)
+        left_at_ms[instance] = until_ms
+        if len(left_at_ms) > _MAX_LEFT_INSTANCES:
+            left_at_ms.pop(next(iter(left_at_ms)))
+
     def _start(self, heartbeat: Heartbeat, now_s: float) -> None:
         """Take over a start; if it leaves, it is unknown since when."""
         self._current = heartbeat
--- a/tests/targets/test_local_target.py
+++ b/tests/targets/test_local_target.py
@@ -262,6 +262,16 @@
         assert not target.receive_departure('i-1', _LEFT_MS, 10)
         assert target.availability(10) is Availability.LEAVING
 
+    def test_they_are_bounded(self, monkeypatch):
+        monkeypatch.setattr(
+            'fescueknot.targets.local_target._MAX_LEFT_INSTANCES', 2
+        )
+        target = _target()
+        for number in range(3):
+            target.receive_departure(f'i-{number}', 1000, number)
+        assert not target.left_until_ms('i-0')
+        assert target.left_until_ms('i-2') == 1000
+
     def test_an_older_departure_does_not_bring_a_start_back(self):
         target = _target()
         target.receive_departure('i-1', 2000, 5)
