--- a/fescueknot/relay/fleet_sync.py
+++ b/fescueknot/relay/fleet_sync.py
@@ -13,7 +13,7 @@
 from fescueknot.identity import Address
 from fescueknot.objectapi.async_store import AsyncObjectStore
 from fescueknot.objectapi.messages import StoredObject
-from fescueknot.objectapi.revisions import era_of
+from fescueknot.objectapi.revisions import counter_of, era_of
 from fescueknot.objectapi.store_era import StoreEra
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.datagram_exchange import DatagramExchange
@@ -248,7 +248,7 @@
             'store.era',
             before=before,
             now=now,
-            revision=self._replica.log.cursor,
+            revision=counter_of(self._replica.log.cursor),
             version=self._routes.version,
         )
         self.publisher.write_again(len(self._directory) / _REWRITES_PER_S)
--- a/fescueknot/relay/store_subscribers.py
+++ b/fescueknot/relay/store_subscribers.py
@@ -8,6 +8,7 @@
 from fescueknot.objectapi.errors import ObjectApiError
 from fescueknot.objectapi.follower import Subscriber
 from fescueknot.objectapi.messages import Change, Listing, StoredObject
+from fescueknot.objectapi.revisions import counter_of
 from fescueknot.relay.adapter import Adapter, UnreadableError
 from fescueknot.relay.observer import Observer
 from fescueknot.relay.target_selector import TargetSelector
@@ -42,7 +43,9 @@
     def _mark_reachable(self, revision: int) -> None:
         if not self.reachable:
             self._observer.note(
-                'store.regained', kind=self.kind, revision=revision
+                'store.regained',
+                kind=self.kind,
+                revision=counter_of(revision),
             )
         self.reachable = True
 
@@ -193,7 +196,7 @@
             services=sorted(services),
             changed=len(changed),
             known=len(self._directory),
-            revision=self._replica.log.cursor,
+            revision=counter_of(self._replica.log.cursor),
         )
         return frozenset(name_in_key(one.key) for one in changed)
 
