Acknowledge no repeated draining heartbeat before others hold the leaving

A second draining heartbeat of a target whose first one found no holder was acknowledged: the departure that the node had noted for itself made it stale.

A node that starts while it knows no others keeps its rounds of questions for later; test_a_node_that_knows_no_others_yet_asks_later.

--- a/fescueknot/relay/departure_exchange.py
+++ b/fescueknot/relay/departure_exchange.py
@@ -125,7 +125,7 @@
 
     def run_round(self) -> None:
         """Ask again after a start, until a node has replied."""
-        if self._query_rounds_left:
+        if self._query_rounds_left and self._peers.fleet_size > 1:
             self._query_rounds_left -= 1
             self.ask_at_start()
 
--- a/fescueknot/relay/target_registrar.py
+++ b/fescueknot/relay/target_registrar.py
@@ -35,6 +35,9 @@
 # A running target has sent several heartbeats within this time after the start
 # of the node.
 _FIRST_HEARTBEAT_TIMEOUT_S = 6.0
+_UNPUBLISHED_EFFECTS = frozenset(
+    (HeartbeatEffect.NOTHING, HeartbeatEffect.STALE)
+)
 _STATE_BY_AVAILABILITY = types.MappingProxyType(
     {
         Availability.SERVING: TargetState.SERVING,
@@ -200,9 +203,7 @@
                 state=str(announcement.state),
                 change=str(change),
             )
-        if change is HeartbeatEffect.STALE:
-            return True
-        if change is not HeartbeatEffect.NOTHING:
+        if change not in _UNPUBLISHED_EFFECTS:
             self.publish()
         if announcement.state is not TargetState.DRAINING:
             return True
--- a/tests/relay/test_departure_exchange.py
+++ b/tests/relay/test_departure_exchange.py
@@ -11,7 +11,11 @@
 from fescueknot.relay.random_peers import RandomPeers
 from fescueknot.targets.departures import Departure, DepartureBook
 from fescueknot.targets.directory import TargetDirectory
-from tests.relay.fakes import RecordingObserver, target_documents
+from tests.relay.fakes import (
+    RecordingObserver,
+    target_document,
+    target_documents,
+)
 from tests.relay.simulated_loop import run_simulated
 
 _PLACE = Place(region='sierra', failure_domain='sierra-a')
@@ -171,3 +175,25 @@
             return starting.learnt, network.sent - sent
 
         assert run_simulated(scenario) == ([_DEPARTURE], 0)
+
+    def test_a_node_that_knows_no_others_yet_asks_later(self):
+        async def scenario():
+            network = _Network(4)
+            await network.nodes[0].exchange.hand_over(_DEPARTURE, 0.6)
+            await asyncio.sleep(1)
+            starting = _Node(network, 1)
+            network.nodes[0] = starting
+            listed = network.directory.entries()
+            network.directory.apply_changes(
+                target_document(name, None) for name in listed
+            )
+            for _ in range(20):
+                starting.exchange.run_round()
+            network.directory.apply_changes(
+                target_documents(_PLACE, *range(1, 5))
+            )
+            starting.exchange.run_round()
+            await asyncio.sleep(1)
+            return starting.learnt
+
+        assert run_simulated(scenario) == [_DEPARTURE]
--- a/tests/relay/test_target_registrar.py
+++ b/tests/relay/test_target_registrar.py
@@ -64,13 +64,18 @@
 
 
 class _FakeDepartures:
-    """Hands departures over to nodes that hold them or are all away."""
+    """Hands departures over to nodes that hold them or are all away.
+
+    As the real exchange does, it tells the node's parts of each first.
+    """
 
     def __init__(self):
         self.handed_over = []
         self.is_held = True
+        self.on_departures = None
 
     async def hand_over(self, departure, timeout_s):
+        self.on_departures((departure,))
         self.handed_over.append(departure)
         return self.is_held
 
@@ -95,6 +100,7 @@
             departures=self.departures,
             observer=RecordingObserver(),
         )
+        self.departures.on_departures = self.registrar.learn_departures
 
     async def start(self, *, listed=True):
         await self.registrar.start(listed=listed)
