--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -6,14 +6,17 @@
 import pathlib
 import sys
 import tempfile
+from collections.abc import Sequence
 
 import msgspec
 
-from tools.soak.faults import FAULTS
+from tools.soak.faults import FAULTS, Fault
 from tools.soak.world import World
 
 _CALM_S = 120
 _OVERLAP_S = 2.0
+# After all faults have ended, also at nodes that have just started.
+_ERA_KNOWN_S = 10
 
 
 class Result(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,15 +29,18 @@
     faults: tuple[str, ...]
 
 
-async def play(seed: int, folder: pathlib.Path, faults: int) -> Result:
-    """Play one seed."""
+async def play(
+    seed: int, folder: pathlib.Path, faults: int, chosen: Sequence[Fault]
+) -> Result:
+    """Play one seed with a number of faults out of those chosen."""
     world = World(folder=folder, seed=seed)
     played: list[str] = []
     try:
         await world.start()
         world.begin_load()
-        await _harm(world, faults, played)
+        await _harm(world, faults, chosen, played)
         await world.serve_within(_CALM_S)
+        await world.learn_era_within(_ERA_KNOWN_S)
     finally:
         world.end()
     return Result(
@@ -46,11 +52,13 @@
     )
 
 
-async def _harm(world: World, faults: int, played: list[str]) -> None:
+async def _harm(
+    world: World, faults: int, chosen: Sequence[Fault], played: list[str]
+) -> None:
     running: list[asyncio.Future[None]] = []
     busy: collections.Counter[int] = collections.Counter()
     for _ in range(faults):
-        fault = world.rng.choice(FAULTS)
+        fault = world.rng.choice(chosen)
         index = world.rng.randrange(len(world.nodes))
         if busy[index]:
             index = min(range(len(world.nodes)), key=busy.__getitem__)
@@ -70,10 +78,13 @@
         busy[index] -= 1
 
 
-def run_seed(seed: int, faults: int) -> Result:
+def run_seed(
+    seed: int, faults: int, chosen: Sequence[Fault] = FAULTS
+) -> Result:
     """Play one seed in a folder of its own."""
     with tempfile.TemporaryDirectory() as folder:
-        result = asyncio.run(play(seed, pathlib.Path(folder), faults))
+        playing = play(seed, pathlib.Path(folder), faults, chosen)
+        result = asyncio.run(playing)
         if result.broken:
             kept = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
             for log in pathlib.Path(folder).glob('*.log'):
@@ -82,16 +93,23 @@
         return result
 
 
+def _names(faults: Sequence[Fault]) -> list[str]:
+    return [fault.__name__ for fault in faults]
+
+
 def main() -> int:
     """Play seeds one after the other and print each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--faults', type=int, default=8)
+    parser.add_argument('--only', default='', help='names, with commas')
     options = parser.parse_args()
+    names = options.only.split(',') if options.only else _names(FAULTS)
+    chosen = [fault for fault in FAULTS if fault.__name__ in names]
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        result = run_seed(seed, options.faults)
+        result = run_seed(seed, options.faults, chosen)
         failed += bool(result.broken)
         print(
             f'seed {seed}: {"BROKEN" if result.broken else "kept"}, '
--- a/tools/soak/node.py
+++ b/tools/soak/node.py
@@ -14,6 +14,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _ROLES = ('callers', 'peers', 'ready', 'heartbeats', 'gossip')
+_METRICS_ROLE = 'metrics'
 
 
 class SoakNode:
@@ -35,7 +36,10 @@
         self.target = target
         self._settings = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
-        self._ports = {role: f'127.0.0.1:{next(ports)}' for role in _ROLES}
+        self._ports = {
+            role: f'127.0.0.1:{next(ports)}'
+            for role in (*_ROLES, _METRICS_ROLE)
+        }
         self._process: subprocess.Popen[bytes] | None = None
 
     def port(self, role: str) -> Address:
@@ -51,7 +55,8 @@
             'target': str(self.target.address),
             'region': 'a',
             'failure_domain': 'a-1',
-            'ports': self._ports,
+            'ports': {role: self._ports[role] for role in _ROLES},
+            'metrics_port': self.port(_METRICS_ROLE).port,
             'bounds': {'drain_s': drain_s, 'grace_s': grace_s},
             'object_store': str(self.store.address),
         }
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -12,6 +12,7 @@
 from tools.soak.node import SoakNode
 from tools.soak.promises import Promises
 from tools.soak.proxy import Proxy
+from tools.soak.store_era import until_known
 from tools.soak.target import SoakTarget
 from tools.standin.platform_store import PlatformStoreStandin
 
@@ -27,7 +28,7 @@
 # Seeds that run side by side take other ports; none of them is one that the
 # system gives to outgoing connections.
 _FIRST_PORT = 8000
-_PORTS_PER_SEED = 20
+_PORTS_PER_SEED = 30
 _SEEDS_APART = 100
 
 
@@ -65,6 +66,15 @@
         except TimeoutError:
             self.promises.broken.append('not all nodes serve')
 
+    async def learn_era_within(self, limit_s: float) -> None:
+        """Wait until every node knows the store era; note who doesn't."""
+        for node in self.nodes:
+            known = until_known(node.port('metrics'), self.store.era)
+            try:
+                await asyncio.wait_for(known, limit_s)
+            except TimeoutError:
+                self.promises.broken.append(f'{node.name} knows an older era')
+
     def begin_load(self) -> None:
         """Let callers send requests."""
         for node in self.nodes:
