Count requests that end without an answer, by reason

Now the server counts them: input unread at a close, requests behind an answer that closes, handlers without an answer, time limits, clients that left. The counts stand in node.stopped and in the gauge unanswered_requests.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -10,6 +10,7 @@
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.kernel_buffers import has_input
 from fescueknot.httpio.messages import Response
 from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import (
@@ -18,6 +19,7 @@
     RequestPipeline,
 )
 from fescueknot.httpio.request_reader import RequestReader
+from fescueknot.httpio.unanswered import Unanswered, UnansweredCounts
 
 _LOG = logging.getLogger('fescueknot.httpio')
 # After the last response, a client that does not close the connection within
@@ -44,6 +46,7 @@
 
     draining = False
     buffers: BufferBudget
+    unanswered: UnansweredCounts
 
     @abc.abstractmethod
     def connection_opened(self, connection: 'ServerConnection') -> None:
@@ -107,12 +110,12 @@
         """Cancel the requests in progress."""
         self._owner.connection_closed(self)
         self._waits.stop()
-        self._pipeline.cancel_all()
+        self._cancel_requests(Unanswered.CLIENT_LEFT)
         self._reader.release()
 
     def eof_received(self) -> bool:
         """Treat a client that half-closes the connection as disconnected."""
-        self._pipeline.cancel_all()
+        self._cancel_requests(Unanswered.CLIENT_LEFT)
         return False
 
     def data_received(self, received: bytes) -> None:
@@ -171,6 +174,8 @@
         """Send a response; return whether the connection stays open."""
         response = pending.response()
         if response is None:
+            self._owner.unanswered.add(Unanswered.NO_ANSWER)
+            self._cancel_requests(Unanswered.NO_ANSWER)
             self._transport.abort()
             return False
         draining = self._owner.draining and not self._pipeline.any_started
@@ -189,8 +194,10 @@
         Closing at once with unread bytes would reset the connection, and the
         client might lose the response.
         """
+        if not self._discards_input and has_input(self._transport):
+            self._owner.unanswered.add(Unanswered.NOT_READ)
         self._discards_input = True
-        self._pipeline.cancel_all()
+        self._cancel_requests(Unanswered.BEHIND_CLOSE)
         self._reader.discard()
         self._reader.count_held(self._pipeline, self._transport)
         if self._transport.is_closing():
@@ -203,6 +210,9 @@
             return
         self._restart_timer()
 
+    def _cancel_requests(self, reason: Unanswered) -> None:
+        self._owner.unanswered.add(reason, self._pipeline.cancel_all())
+
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
@@ -218,6 +228,7 @@
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
         def abort() -> None:  # noqa: WPS430
+            self._cancel_requests(Unanswered.STALLED)
             self._transport.abort()
 
         return {
--- a/fescueknot/httpio/pipeline.py
+++ b/fescueknot/httpio/pipeline.py
@@ -118,12 +118,14 @@
             return self._pending.popleft()
         return None
 
-    def cancel_all(self) -> None:
-        """Cancel and remove all pending requests."""
+    def cancel_all(self) -> int:
+        """Cancel and remove all pending requests; return their number."""
         for pending in self._pending:
             if pending.answer is not None:
                 pending.answer.cancel()
+        cancelled = len(self._pending)
         self._pending.clear()
+        return cancelled
 
     def _startable(self) -> Iterator[PipelinedRequest]:
         overlapping = True
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -7,6 +7,7 @@
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.pipeline import AnswerFuture
+from fescueknot.httpio.unanswered import UnansweredCounts
 
 _BACKLOG = 1024
 
@@ -26,6 +27,7 @@
         buffers: BufferBudget | None = None,
     ) -> None:
         self.buffers = buffers or BufferBudget()
+        self.unanswered = UnansweredCounts()
         self._handler = handler
         self._report_error = report_error
         self._connections: set[ServerConnection] = set()
--- a/fescueknot/relay/node_servers.py
+++ b/fescueknot/relay/node_servers.py
@@ -1,6 +1,6 @@
 """The HTTP servers of one node."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.handler import Handler
@@ -37,6 +37,10 @@
         self._heartbeats = Server(handler=heartbeats, report_error=report_error)
         self._metrics = Server(handler=metrics, report_error=report_error)
 
+    def unanswered(self) -> Mapping[str, float]:
+        """Return the requests of callers that ended without an answer."""
+        return self.callers.unanswered.by_reason()
+
     async def listen(self, settings: RelaySettings) -> None:
         """Listen at the addresses of the settings; callers come late."""
         ports = settings.ports
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -230,7 +230,9 @@
         )
         stop_task.add_done_callback(self._task_ended)
         await asyncio.wait((stop_task,))
-        self._observer.note('node.stopped')
+        self._observer.note(
+            'node.stopped', unanswered=dict(self._servers.unanswered())
+        )
         await self._housekeeping.finish()
 
     def _start_tasks(self) -> None:
@@ -265,6 +267,9 @@
             'fingerprint',
             self._suspects.requests.held_left_s,
         )
+        self._metrics.labelled_gauge(
+            'unanswered_requests', 'reason', self._servers.unanswered
+        )
 
     def _is_ready(self) -> bool:
         if self._stop_requested.is_set():
--- a/tests/httpio/fake_transport.py
+++ b/tests/httpio/fake_transport.py
@@ -4,6 +4,7 @@
 
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner
+from fescueknot.httpio.unanswered import UnansweredCounts
 
 
 class FakeTransport(asyncio.Transport):
@@ -49,6 +50,7 @@
 
     def __init__(self):
         self.buffers = BufferBudget()
+        self.unanswered = UnansweredCounts()
 
     def connection_opened(self, connection):
         """Ignore the event."""
