Answer requests that lie in the kernel when a node stops

At the end of a stop each connection without a request in progress was half-closed and all further input discarded, and the listening socket was closed. Nobody looked whether something had arrived since the loop last asked the kernel. A process that waits for a processor in between dropped requests that had been sent as long ago, and callers got a closed connection or a reset, no answer; a call between nodes became a 502 though it hadn't run.

Cause: idle was what the process had read, not what it had received. Now a connection with input, and a listening socket with connections to accept, stay open until these are answered; a stop looks again, within its grace period.

Before: of the new tests test_a_request_that_has_arrived_unseen_is_answered fails (nothing received), and test_a_connection_not_yet_accepted_is_served too with the old way of closing the listening socket. After: both hold. Tried and dropped: closing the listening socket in the same step in which a connection is accepted; asyncio then drops that connection without a word.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -141,13 +141,20 @@
         self._restart_timer()
         self._reader.count_held(self._pipeline, self._transport)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or being read."""
+        is_between_requests = not self._pipeline and not self._parser.has_begun
+        return is_between_requests and not self._discards_input
+
+    @property
+    def has_unread_request(self) -> bool:
+        """Return whether input waits in the kernel for an idle connection."""
+        return self.is_idle and has_input(self._transport)
+
     def close_when_idle(self) -> None:
-        """Close the connection if no request is in progress or being read."""
-        if (
-            not self._pipeline
-            and not self._parser.has_begun
-            and not self._discards_input
-        ):
+        """Close the connection if no request is in progress or has arrived."""
+        if self.is_idle and not has_input(self._transport):
             self._close_gracefully()
 
     def _process_pipeline(self) -> None:
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -6,6 +6,7 @@
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.kernel_buffers import is_readable
 from fescueknot.httpio.pipeline import AnswerFuture
 from fescueknot.httpio.unanswered import UnansweredCounts
 
@@ -67,13 +68,22 @@
         """
         self.draining = True
 
+    @property
+    def has_unread_requests(self) -> bool:
+        """Return whether the kernel holds connections or requests to read."""
+        return self._has_unaccepted() or any(
+            connection.has_unread_request for connection in self._connections
+        )
+
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle connections.
 
-        The remaining connections are closed after their next response.
+        The remaining connections are closed after their next response. What
+        the kernel holds already is left to be read: while
+        ``has_unread_requests``, call this again.
         """
         self.draining = True
-        if self._listener is not None:
+        if self._listener is not None and not self._has_unaccepted():
             self._listener.close()
         for connection in tuple(self._connections):
             connection.close_when_idle()
@@ -96,5 +106,10 @@
         if not answer.cancelled() and answer.exception() is not None:
             self._report_error(answer.exception())
 
+    def _has_unaccepted(self) -> bool:
+        return self._listener is not None and any(
+            is_readable(sock) for sock in self._listener.sockets
+        )
+
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(handler=self._handler, owner=self)
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -47,11 +47,11 @@
         self._peer_server.drain()
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
         await self._finish_requests(deadline_s)
-        self._caller_server.stop_listening()
-        self._peer_server.stop_listening()
         end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
-        while self.in_progress() and loop.time() < end_s:
+        self._stop_listening()
+        while self._has_more() and loop.time() < end_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
+            self._stop_listening()
 
     def in_progress(self) -> int:
         """Return the number of requests in progress.
@@ -64,6 +64,18 @@
             for server in servers
         )
 
+    def _stop_listening(self) -> None:
+        self._caller_server.stop_listening()
+        self._peer_server.stop_listening()
+
+    def _has_more(self) -> bool:
+        """Return whether requests are in progress or wait to be read."""
+        return (
+            self.in_progress() > 0
+            or self._caller_server.has_unread_requests
+            or self._peer_server.has_unread_requests
+        )
+
     async def _finish_requests(self, deadline_s: float) -> None:
         """Take fewer and fewer requests until idle or until the deadline."""
         end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
--- /dev/null
+++ b/tests/httpio/test_unread_requests.py
@@ -0,0 +1,144 @@
+"""Requests that lie in the kernel when a connection is to be closed."""
+
+import asyncio
+import select
+import socket
+
+from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.messages import Limits, Response
+from fescueknot.httpio.server import Server
+from fescueknot.httpio.unanswered import Unanswered
+
+_REQUEST = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
+_IDLE_S = 1
+_POLL_INTERVAL_S = 0.01
+_LIMIT_S = 30
+
+
+class _Handler(Handler):
+    def __init__(self):
+        self.current_limits = Limits(idle_timeout_s=_IDLE_S)
+
+    async def answer(self, request, peer):
+        return Response(status=200, body=b'whole')
+
+    def limits(self):
+        return self.current_limits
+
+
+class _Served:
+    """A server and a client whose bytes the server's kernel has at once."""
+
+    def __init__(self):
+        self.handler = _Handler()
+        self.server = Server(
+            handler=self.handler, report_error=lambda error: None
+        )
+        self.client = None
+
+    async def start(self):
+        await self.server.listen('127.0.0.1', 0)
+        self.handler.current_limits = Limits(idle_timeout_s=_LIMIT_S)
+
+    def connect(self):
+        """Connect; the server has not accepted yet."""
+        address = ('127.0.0.1', self.server.port)
+        self.client = socket.create_connection(address)
+        _wait_for_input(self.server._listener.sockets[0])
+
+    async def accepted(self):
+        while not self.server.open_connections:
+            await asyncio.sleep(0)
+
+    def send(self):
+        """Send a request; the server has not read it."""
+        self.client.sendall(_REQUEST)
+        for connection in self.server._connections:
+            _wait_for_input(connection._transport.get_extra_info('socket'))
+
+    async def received(self):
+        """Return all that the client receives until the end."""
+        self.client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = bytearray()
+        try:
+            while piece := await loop.sock_recv(self.client, 4096):
+                received += piece
+        except ConnectionResetError as error:
+            received += repr(error).encode()
+        self.client.close()
+        return bytes(received)
+
+
+def _wait_for_input(sock):
+    select.select([sock.fileno()], [], [], _LIMIT_S)
+
+
+def _run(scenario):
+    async def around():
+        served = _Served()
+        await served.start()
+        return await scenario(served)
+
+    return asyncio.run(asyncio.wait_for(around(), _LIMIT_S))
+
+
+class TestStop:
+    """A server that closes its idle connections."""
+
+    def test_a_request_that_has_arrived_unseen_is_answered(self):
+        # Guards against the close of a connection as idle, though a request
+        # had arrived since the loop last looked: it was read and dropped.
+        async def scenario(served):
+            served.connect()
+            await served.accepted()
+            served.send()
+            served.server.stop_listening()
+            return await served.received()
+
+        assert _run(scenario).endswith(b'whole')
+
+    def test_a_connection_not_yet_accepted_is_served(self):
+        # Guards against a reset of connections that the kernel has accepted.
+        async def scenario(served):
+            served.connect()
+            served.send()
+            served.server.stop_listening()
+            while served.server.has_unread_requests:
+                await asyncio.sleep(_POLL_INTERVAL_S)
+                served.server.stop_listening()
+            return await served.received()
+
+        assert _run(scenario).endswith(b'whole')
+
+    def test_an_idle_connection_is_closed_all_the_same(self):
+        async def scenario(served):
+            served.connect()
+            await served.accepted()
+            served.server.stop_listening()
+            return await served.received()
+
+        assert _run(scenario) == b''
+
+
+class TestCounts:
+    """What the server counts as ended without an answer."""
+
+    def test_a_client_that_leaves_is_counted(self):
+        async def scenario(served):
+            served.handler.answer = _never
+            served.connect()
+            await served.accepted()
+            served.send()
+            while not served.server.requests_in_progress:
+                await asyncio.sleep(0)
+            served.client.close()
+            while served.server.requests_in_progress:
+                await asyncio.sleep(0)
+            return served.server.unanswered.by_reason()
+
+        assert _run(scenario) == {str(Unanswered.CLIENT_LEFT): 1}
+
+
+async def _never(request, peer):
+    await asyncio.get_running_loop().create_future()
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -25,6 +25,7 @@
     def __init__(self):
         self.requests_in_progress = 0
         self.responses_unread = 0
+        self.has_unread_requests = False
 
     def drain(self):
         """Do nothing: there are no connections."""
@@ -130,6 +131,18 @@
 
         assert 4.5 < run_simulated(scenario) < _GRACE_S
 
+    def test_the_node_waits_for_requests_that_are_not_read(self):
+        # Guards against an exit with requests in the kernel.
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.has_unread_requests = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(3.5, setattr, node.server, 'has_unread_requests', 0)
+            await node.stop
+            return loop.time()
+
+        assert 3.5 < run_simulated(scenario) < _GRACE_S
+
     def test_it_stops_within_the_grace_period_all_the_same(self):
         async def scenario():
             node = _StoppingNode(ANSWERED)
