Answer a request that has arrived unseen at the idle limit of its connection

A process that waited for a processor there dropped a request that had been sent long before.

Before: test_a_request_that_has_arrived_unseen_is_answered of TestIdleLimit receives nothing. After: the answer.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -249,7 +249,7 @@
             Awaited.CLOSE: TimeLimit(limit_s=lambda: _LINGER_S, action=abort),
             Awaited.NEXT_REQUEST: TimeLimit(
                 limit_s=lambda: self._handler.limits().idle_timeout_s,
-                action=self._close_gracefully,
+                action=self.close_when_idle,
             ),
         }
 
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -4,10 +4,13 @@
 import select
 import socket
 
+from fescueknot.httpio.connection import ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
 from fescueknot.httpio.server import Server
 from fescueknot.httpio.unanswered import Unanswered
+from tests.httpio.fake_transport import FakeTransport, NoOpOwner
+from tests.relay.simulated_loop import run_simulated
 
 _REQUEST = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
 _IDLE_S = 1
@@ -121,6 +124,63 @@
         assert _run(scenario) == b''
 
 
+class _KernelTransport(FakeTransport):
+    """Has a socket whose input the connection is given by hand."""
+
+    def __init__(self):
+        super().__init__()
+        self.client, self.server_end = socket.socketpair()
+
+    def get_extra_info(self, name, default=None):
+        if name == 'socket':
+            return self.server_end
+        return super().get_extra_info(name, default)
+
+    def close_sockets(self):
+        self.client.close()
+        self.server_end.close()
+
+
+def _at_idle_limit(scenario):
+    """Return the result of a scenario with a connection that is idle."""
+
+    async def around():
+        transport = _KernelTransport()
+        handler = _Handler()
+        connection = ServerConnection(handler=handler, owner=NoOpOwner())
+        connection.connection_made(transport)
+        await scenario(transport, handler)
+        written = bytes(transport.written)
+        if not written:
+            connection.data_received(_REQUEST)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            written = bytes(transport.written)
+        transport.close_sockets()
+        return written
+
+    return run_simulated(around)
+
+
+class TestIdleLimit:
+    """A connection that reaches its idle limit."""
+
+    def test_a_request_that_has_arrived_unseen_is_answered(self):
+        # Guards against the same as above at the idle limit: the request
+        # arrives after the loop has looked and before the limit acts.
+        async def scenario(transport, handler):
+            transport.client.sendall(_REQUEST)
+            await asyncio.sleep(_IDLE_S + _POLL_INTERVAL_S)
+
+        assert _at_idle_limit(scenario).endswith(b'whole')
+
+    def test_an_idle_connection_is_closed_all_the_same(self):
+        async def scenario(transport, handler):
+            await asyncio.sleep(_IDLE_S + _POLL_INTERVAL_S)
+
+        assert _at_idle_limit(scenario) == b'(end)'
+
+
 class TestCounts:
     """What the server counts as ended without an answer."""
 
