Apply a longer idle limit to connections that wait already

A wait kept the limit that was in force when it began, so that a limit that had grown since closed connections under requests that their clients took for in time. At its end a wait now reads the limit again and goes on if that has grown; this holds for slowly sent heads too.

Before: test_a_limit_that_has_grown_applies finds the connection closed at the old limit. After: the request at twice the old limit is answered.

--- a/fescueknot/httpio/client_waits.py
+++ b/fescueknot/httpio/client_waits.py
@@ -25,7 +25,7 @@
 
 
 class TimeLimit:
-    """A time, read when a wait begins, and what is done at its end."""
+    """A time, which may change during a wait, and what is done at its end."""
 
     def __init__(
         self, *, limit_s: Callable[[], float], action: Callable[[], None]
@@ -66,13 +66,27 @@
         if awaited is Awaited.RESPONSE_READ:
             self._watch(transport, stalled_s=0)
         elif limit is not None:
-            self._timer.set(limit.limit_s(), limit.action)
+            self._wait(limit, limit.limit_s(), waited_s=0)
 
     def stop(self) -> None:
         """Wait for nothing."""
         self._timer.stop()
         self._current = Awaited.NOTHING
 
+    def _wait(
+        self, limit: TimeLimit, wait_s: float, *, waited_s: float
+    ) -> None:
+        end = functools.partial(self._end_wait, limit, waited_s + wait_s)
+        self._timer.set(wait_s, end)
+
+    def _end_wait(self, limit: TimeLimit, waited_s: float) -> None:
+        """Act, or wait on if the limit has grown meanwhile."""
+        left_s = limit.limit_s() - waited_s
+        if left_s > 0:
+            self._wait(limit, left_s, waited_s=waited_s)
+        else:
+            limit.action()
+
     def _watch(self, transport: asyncio.Transport, *, stalled_s: float) -> None:
         check = functools.partial(
             self._check,
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -180,6 +180,21 @@
 
         assert _at_idle_limit(scenario) == b'(end)'
 
+    def test_a_limit_that_has_grown_applies(self):
+        # Guards against a close by the limit of an older configuration.
+        async def scenario(transport, handler):
+            handler.current_limits = Limits(idle_timeout_s=3 * _IDLE_S)
+            await asyncio.sleep(2 * _IDLE_S)
+
+        assert _at_idle_limit(scenario).endswith(b'whole')
+
+    def test_a_limit_that_has_grown_ends_too(self):
+        async def scenario(transport, handler):
+            handler.current_limits = Limits(idle_timeout_s=3 * _IDLE_S)
+            await asyncio.sleep(3 * _IDLE_S + _POLL_INTERVAL_S)
+
+        assert _at_idle_limit(scenario) == b'(end)'
+
 
 class TestCounts:
     """What the server counts as ended without an answer."""
