--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -82,7 +82,10 @@
         )
         self._reader = RequestReader(parser=self._parser, buffers=owner.buffers)
         self._pipeline = RequestPipeline(
-            handler=handler, peer='', on_end=self._request_ended
+            handler=handler,
+            peer='',
+            on_end=self._request_ended,
+            unanswered=owner.unanswered,
         )
         self._transport: asyncio.Transport | None = None
         self._waits = ClientWaits(
@@ -101,7 +104,10 @@
         self._transport = transport
         peer = transport.get_extra_info('peername')[0]
         self._pipeline = RequestPipeline(
-            handler=self._handler, peer=peer, on_end=self._request_ended
+            handler=self._handler,
+            peer=peer,
+            on_end=self._request_ended,
+            unanswered=self._owner.unanswered,
         )
         self._owner.connection_opened(self)
         self._restart_timer()
@@ -110,12 +116,12 @@
         """Cancel the requests in progress."""
         self._owner.connection_closed(self)
         self._waits.stop()
-        self._cancel_requests(Unanswered.CLIENT_LEFT)
+        self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
         self._reader.release()
 
     def eof_received(self) -> bool:
         """Treat a client that half-closes the connection as disconnected."""
-        self._cancel_requests(Unanswered.CLIENT_LEFT)
+        self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
         return False
 
     def data_received(self, received: bytes) -> None:
@@ -141,21 +147,18 @@
         self._restart_timer()
         self._reader.count_held(self._pipeline, self._transport)
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is in progress or being read."""
-        is_between_requests = not self._pipeline and not self._parser.has_begun
-        return is_between_requests and not self._discards_input
-
-    @property
-    def has_unread_request(self) -> bool:
-        """Return whether input waits in the kernel for an idle connection."""
-        return self.is_idle and has_input(self._transport)
+    def close_when_idle(self) -> bool:
+        """Close the connection if no request is in progress or has arrived.
 
-    def close_when_idle(self) -> None:
-        """Close the connection if no request is in progress or has arrived."""
-        if self.is_idle and not has_input(self._transport):
+        Returns whether it is idle, but for a request that is still unread.
+        """
+        is_between_requests = not self._pipeline and not self._parser.has_begun
+        if self._discards_input or not is_between_requests:
+            return False
+        is_unread = has_input(self._transport)
+        if not is_unread:
             self._close_gracefully()
+        return is_unread
 
     def _process_pipeline(self) -> None:
         """Send the responses that are due and start the next handlers."""
@@ -182,7 +185,7 @@
         response = pending.response()
         if response is None:
             self._owner.unanswered.add(Unanswered.NO_ANSWER)
-            self._cancel_requests(Unanswered.NO_ANSWER)
+            self._pipeline.cancel_all(Unanswered.NO_ANSWER)
             self._transport.abort()
             return False
         draining = self._owner.draining and not self._pipeline.any_started
@@ -204,7 +207,7 @@
         if not self._discards_input and has_input(self._transport):
             self._owner.unanswered.add(Unanswered.NOT_READ)
         self._discards_input = True
-        self._cancel_requests(Unanswered.BEHIND_CLOSE)
+        self._pipeline.cancel_all(Unanswered.BEHIND_CLOSE)
         self._reader.discard()
         self._reader.count_held(self._pipeline, self._transport)
         if self._transport.is_closing():
@@ -217,9 +220,6 @@
             return
         self._restart_timer()
 
-    def _cancel_requests(self, reason: Unanswered) -> None:
-        self._owner.unanswered.add(reason, self._pipeline.cancel_all())
-
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
@@ -235,7 +235,7 @@
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
         def abort() -> None:  # noqa: WPS430
-            self._cancel_requests(Unanswered.STALLED)
+            self._pipeline.cancel_all(Unanswered.STALLED)
             self._transport.abort()
 
         return {
--- a/fescueknot/httpio/pipeline.py
+++ b/fescueknot/httpio/pipeline.py
@@ -6,6 +6,7 @@
 
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Request, Response, size_bytes
+from fescueknot.httpio.unanswered import Unanswered, UnansweredCounts
 
 # Pipelined requests of one connection that are parsed before the rest waits.
 _MAX_PENDING_REQUESTS = 16
@@ -54,6 +55,7 @@
 
     A request runs in parallel with earlier requests only if the handler
     allows all of them to overlap. ``on_end`` is called when a handler ends.
+    Requests that are cancelled count in ``unanswered``.
     """
 
     def __init__(
@@ -62,10 +64,12 @@
         handler: Handler,
         peer: str,
         on_end: Callable[[AnswerFuture], None],
+        unanswered: UnansweredCounts,
     ) -> None:
         self._handler = handler
         self._peer = peer
         self._on_end = on_end
+        self._unanswered = unanswered
         self._pending: collections.deque[PipelinedRequest] = collections.deque()
 
     def __len__(self) -> int:
@@ -118,14 +122,13 @@
             return self._pending.popleft()
         return None
 
-    def cancel_all(self) -> int:
-        """Cancel and remove all pending requests; return their number."""
+    def cancel_all(self, reason: Unanswered) -> None:
+        """Cancel and remove all pending requests; count them."""
         for pending in self._pending:
             if pending.answer is not None:
                 pending.answer.cancel()
-        cancelled = len(self._pending)
+        self._unanswered.add(reason, len(self._pending))
         self._pending.clear()
-        return cancelled
 
     def _startable(self) -> Iterator[PipelinedRequest]:
         overlapping = True
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -68,25 +68,20 @@
         """
         self.draining = True
 
-    @property
-    def has_unread_requests(self) -> bool:
-        """Return whether the kernel holds connections or requests to read."""
-        return self._has_unaccepted() or any(
-            connection.has_unread_request for connection in self._connections
-        )
-
-    def stop_listening(self) -> None:
+    def stop_listening(self) -> bool:
         """Stop accepting connections and close the idle connections.
 
-        The remaining connections are closed after their next response. What
-        the kernel holds already is left to be read: while
-        ``has_unread_requests``, call this again.
+        The remaining connections are closed after their next response. Returns
+        whether the kernel holds connections or requests that are still to be
+        read; then call this again, after the event loop has read them.
         """
         self.draining = True
-        if self._listener is not None and not self._has_unaccepted():
+        has_unread = self._has_unaccepted()
+        if self._listener is not None and not has_unread:
             self._listener.close()
         for connection in tuple(self._connections):
-            connection.close_when_idle()
+            has_unread |= connection.close_when_idle()
+        return has_unread
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Record a new connection."""
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -48,10 +48,12 @@
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
         await self._finish_requests(deadline_s)
         end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
-        self._stop_listening()
-        while self._has_more() and loop.time() < end_s:
+        has_unread = self._stop_listening()
+        while has_unread or self.in_progress():
+            if loop.time() >= end_s:
+                return
             await asyncio.sleep(_POLL_INTERVAL_S)
-            self._stop_listening()
+            has_unread = self._stop_listening()
 
     def in_progress(self) -> int:
         """Return the number of requests in progress.
@@ -64,17 +66,11 @@
             for server in servers
         )
 
-    def _stop_listening(self) -> None:
-        self._caller_server.stop_listening()
-        self._peer_server.stop_listening()
-
-    def _has_more(self) -> bool:
-        """Return whether requests are in progress or wait to be read."""
-        return (
-            self.in_progress() > 0
-            or self._caller_server.has_unread_requests
-            or self._peer_server.has_unread_requests
-        )
+    def _stop_listening(self) -> bool:
+        """Stop listening; return whether requests are still to be read."""
+        callers_unread = self._caller_server.stop_listening()
+        peers_unread = self._peer_server.stop_listening()
+        return callers_unread or peers_unread
 
     async def _finish_requests(self, deadline_s: float) -> None:
         """Take fewer and fewer requests until idle or until the deadline."""
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -106,10 +106,8 @@
         async def scenario(served):
             served.connect()
             served.send()
-            served.server.stop_listening()
-            while served.server.has_unread_requests:
+            while served.server.stop_listening():
                 await asyncio.sleep(_POLL_INTERVAL_S)
-                served.server.stop_listening()
             return await served.received()
 
         assert _run(scenario).endswith(b'whole')
@@ -129,7 +127,9 @@
 
     def __init__(self):
         super().__init__()
-        self.client, self.server_end = socket.socketpair()
+        pair = socket.socketpair()
+        self.client = pair[0]
+        self.server_end = pair[1]
 
     def get_extra_info(self, name, default=None):
         if name == 'socket':
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -31,7 +31,8 @@
         """Do nothing: there are no connections."""
 
     def stop_listening(self):
-        """Do nothing: there are no connections."""
+        """Return whether requests are to be read."""
+        return self.has_unread_requests
 
 
 class _Gatekeeper:
@@ -137,7 +138,9 @@
             node = _StoppingNode(ANSWERED)
             node.server.has_unread_requests = True
             loop = asyncio.get_running_loop()
-            loop.call_later(3.5, setattr, node.server, 'has_unread_requests', 0)
+            loop.call_later(
+                3.5, setattr, node.server, 'has_unread_requests', False
+            )
             await node.stop
             return loop.time()
 
