Answer the requests before one that is refused

A connection that has refused input (malformed, too large, a late head, no memory) lingers for a second and is aborted then. The linger began with the refusal, though earlier pipelined requests were still at work: they had been passed on, and their connection ended without an answer a second later. A body that made no progress for 15 s aborted them too.

Cause: what a connection waits for was told by its last event, not by all that it holds. Now requests in progress come before the linger, and a stalled body is refused with 408 behind them, as a late head is.

Before: five cases of test_requests_before_it_are_answered fail, nothing is written but the abort. After: each has the answer and then the refusal.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -28,7 +28,7 @@
 # Bytes that are read and discarded from a client that keeps sending after its
 # last response. Then reading stops.
 _LINGER_BYTES = 1_048_576
-# A client that sends no bytes of its body for this long is disconnected.
+# A request without further bytes of its body for this long is refused.
 _STALLED_BODY_TIMEOUT_S = 15.0
 _REQUEST_PART_BY_IN_BODY = types.MappingProxyType(
     {False: Awaited.REQUEST_HEAD, True: Awaited.REQUEST_BODY}
@@ -227,24 +227,24 @@
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
         elif self.has_unread:
             awaited = Awaited.RESPONSE_READ
-        elif self._discards_input:
-            awaited = Awaited.CLOSE
         elif self._pipeline:
             awaited = Awaited.NOTHING
+        elif self._discards_input:
+            awaited = Awaited.CLOSE
         self._waits.begin(awaited, self._transport)
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
         def abort() -> None:  # noqa: WPS430
-            self._pipeline.cancel_all(Unanswered.STALLED)
             self._transport.abort()
 
         return {
             Awaited.REQUEST_HEAD: TimeLimit(
                 limit_s=lambda: self._handler.limits().header_timeout_s,
-                action=self._refuse_late_head,
+                action=self._refuse_late_request,
             ),
             Awaited.REQUEST_BODY: TimeLimit(
-                limit_s=lambda: _STALLED_BODY_TIMEOUT_S, action=abort
+                limit_s=lambda: _STALLED_BODY_TIMEOUT_S,
+                action=self._refuse_late_request,
             ),
             Awaited.CLOSE: TimeLimit(limit_s=lambda: _LINGER_S, action=abort),
             Awaited.NEXT_REQUEST: TimeLimit(
@@ -253,7 +253,7 @@
             ),
         }
 
-    def _refuse_late_head(self) -> None:
+    def _refuse_late_request(self) -> None:
         self._discards_input = True
         self._pipeline.add_final_response(
             Response(status=_REQUEST_TIMEOUT_STATUS)
--- a/fescueknot/httpio/unanswered.py
+++ b/fescueknot/httpio/unanswered.py
@@ -11,14 +11,13 @@
 
     ``NOT_READ``: bytes of the client were still unread. ``BEHIND_CLOSE``: the
     request waited behind an answer that closes the connection. ``NO_ANSWER``:
-    its handler gave none. ``STALLED``: its connection reached a time limit.
-    ``CLIENT_LEFT``: the client closed or reset the connection.
+    its handler gave none. ``CLIENT_LEFT``: the client closed or reset the
+    connection, or read no more.
     """
 
     NOT_READ = 'not_read'
     BEHIND_CLOSE = 'behind_close'
     NO_ANSWER = 'no_answer'
-    STALLED = 'stalled'
     CLIENT_LEFT = 'client_left'
 
 
