--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -223,7 +223,8 @@
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
-        if self._parser.has_begun and not self._discards_input:
+        is_reading = not self._discards_input and not self._pipeline.is_full
+        if self._parser.has_begun and is_reading:
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
         elif self.has_unread:
             awaited = Awaited.RESPONSE_READ
--- a/tests/httpio/test_refusals_in_pipelines.py
+++ b/tests/httpio/test_refusals_in_pipelines.py
@@ -14,6 +14,7 @@
 _HEADER_TIMEOUT_S = 1
 _LONG_S = 20
 _GOOD = b'GET /good HTTP/1.1\r\nHost: x\r\n\r\n'
+_PIPELINE_LENGTH = 16
 
 
 class _Handler(Handler):
@@ -30,8 +31,8 @@
         return True
 
 
-def _written(*pieces):
-    """Return what is written after pieces have arrived."""
+def _written(*pieces, after_s=0, rest=b''):
+    """Return what is written after pieces, and a rest some time later."""
 
     async def scenario():
         transport = FakeTransport()
@@ -39,6 +40,9 @@
         connection.connection_made(transport)
         for piece in pieces:
             connection.data_received(piece)
+        await asyncio.sleep(after_s)
+        if rest:
+            connection.data_received(rest)
         await asyncio.sleep(_LONG_S)
         return bytes(transport.written)
 
@@ -65,3 +69,14 @@
         written = _written(_GOOD, refused)
         assert written.count(b'whole') == 1
         assert b'HTTP/1.1 ' + status in written.partition(b'whole')[2]
+
+    def test_a_head_behind_a_full_pipeline_has_its_time(self):
+        # Guards against a 408 for a request that nobody has read meanwhile.
+        cut = len(_GOOD) // 2
+        written = _written(
+            _GOOD * _PIPELINE_LENGTH + _GOOD[:cut],
+            after_s=2 * _HEADER_TIMEOUT_S,
+            rest=_GOOD[cut:],
+        )
+        assert written.count(b'whole') == _PIPELINE_LENGTH + 1
+        assert b' 408 ' not in written
