Read what has arrived before a request is refused as late

A process that waited for a processor refused with 408 a request whose rest lay in the kernel. Now the limit acts once that has been read; a head that trickles in is refused as before.

--- a/fescueknot/httpio/client_waits.py
+++ b/fescueknot/httpio/client_waits.py
@@ -68,6 +68,10 @@
         elif limit is not None:
             self._wait(limit, limit.limit_s(), waited_s=0)
 
+    def defer(self, action: Callable[[], None]) -> None:
+        """Act once the event loop has read what has arrived."""
+        self._timer.set(0, action)
+
     def stop(self) -> None:
         """Wait for nothing."""
         self._timer.stop()
--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -255,6 +255,10 @@
         }
 
     def _refuse_late_request(self) -> None:
+        """Refuse a request that is not complete, unless more has arrived."""
+        if has_input(self._transport):
+            self._waits.defer(self._refuse_late_request)
+            return
         self._discards_input = True
         self._pipeline.add_final_response(
             Response(status=_REQUEST_TIMEOUT_STATUS)
--- a/tests/httpio/fake_transport.py
+++ b/tests/httpio/fake_transport.py
@@ -1,6 +1,7 @@
 """The server's side of a connection, without a network."""
 
 import asyncio
+import socket
 
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner
@@ -45,6 +46,25 @@
         self.aborted.set()
 
 
+class KernelTransport(FakeTransport):
+    """Has a socket whose input the connection is given by hand."""
+
+    def __init__(self):
+        super().__init__()
+        pair = socket.socketpair()
+        self.client = pair[0]
+        self.server_end = pair[1]
+
+    def get_extra_info(self, name, default=None):
+        if name == 'socket':
+            return self.server_end
+        return super().get_extra_info(name, default)
+
+    def close_sockets(self):
+        self.client.close()
+        self.server_end.close()
+
+
 class NoOpOwner(ConnectionOwner):
     """Ignores all events of a connection."""
 
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -9,7 +9,7 @@
 from fescueknot.httpio.messages import Limits, Response
 from fescueknot.httpio.server import Server
 from fescueknot.httpio.unanswered import Unanswered
-from tests.httpio.fake_transport import FakeTransport, NoOpOwner
+from tests.httpio.fake_transport import KernelTransport, NoOpOwner
 from tests.relay.simulated_loop import run_simulated
 
 _REQUEST = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -122,30 +122,11 @@
         assert _run(scenario) == b''
 
 
-class _KernelTransport(FakeTransport):
-    """Has a socket whose input the connection is given by hand."""
-
-    def __init__(self):
-        super().__init__()
-        pair = socket.socketpair()
-        self.client = pair[0]
-        self.server_end = pair[1]
-
-    def get_extra_info(self, name, default=None):
-        if name == 'socket':
-            return self.server_end
-        return super().get_extra_info(name, default)
-
-    def close_sockets(self):
-        self.client.close()
-        self.server_end.close()
-
-
 def _at_idle_limit(scenario):
     """Return the result of a scenario with a connection that is idle."""
 
     async def around():
-        transport = _KernelTransport()
+        transport = KernelTransport()
         handler = _Handler()
         connection = ServerConnection(handler=handler, owner=NoOpOwner())
         connection.connection_made(transport)
