--- a/fescueknot/httpio/unanswered.py
+++ b/fescueknot/httpio/unanswered.py
@@ -9,10 +9,10 @@
 class Unanswered(enum.StrEnum):
     """Why a connection ended before an answer to a request that it had.
 
-    ``NOT_READ``: bytes of the client were still unread. ``BEHIND_CLOSE``: the
-    request waited behind an answer that closes the connection. ``NO_ANSWER``:
-    its handler gave none. ``CLIENT_LEFT``: the client closed or reset the
-    connection, or read no more.
+    ``NOT_READ``: bytes of the client, or its close, were still unread.
+    ``BEHIND_CLOSE``: the request waited behind an answer that closes the
+    connection. ``NO_ANSWER``: its handler gave none. ``CLIENT_LEFT``: the
+    client closed or reset the connection, or read no more.
     """
 
     NOT_READ = 'not_read'
