Hold a SIGHUP that comes while a node's process starts

What callers saw: a node that got SIGHUP soon after its start was gone until somebody started it again, with all that other nodes had sent to it.

Cause: the handler was set in NodeProcess.run, after all imports. Until then SIGHUP has its default action, which ends the process.

--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -8,6 +8,7 @@
 
 from fescueknot.identity import Address
 from fescueknot.randomness import unseeded
+from fescueknot.relay import early_signals
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.caller_handler import CallerHandler
@@ -221,6 +222,8 @@
         self._start_tasks()
         await self._servers.listen(self._settings)
         self._observer.note('node.started', pid=os.getpid())
+        if early_signals.was_held():
+            self._reloader.reload()
         await self._stop_requested.wait()
         self._observer.note(
             'node.stopping', busy=self._graceful_stop.in_progress()
