Wait for bytes that the operating system still holds for a client

Callers saw: an answer of 3 MB that its client reads at 0.7 MB/s, taken 0.4 s before SIGTERM, ended with a reset when the client sent another request on the connection after the process had ended (3.7 s after SIGTERM; 2 of 2 lost with 2.7 to 2.8 of 3.0 MB). Without a stop the same happened at an idle limit of 2 s and a second after an answer with "Connection: close" (4 of 4 lost with 2.1 of 3.0 MB); clients that sent nothing got all.

Cause: an answer counted as read once the transport had handed it over. The kernel holds up to 4 MB (tcp_wmem) more, and resets the connection if input comes after it was closed, which drops them.

Change: has_unread counts TIOCOUTQ too, so that a stop waits for delivery within the grace period. The linger and the idle limit, when they end, first wait while the client reads; one that takes no byte for 15 s is disconnected as before. The system call is made at the end of these limits and while a node stops, not per request. An error counts as nothing held, logged once.

--- a/fescueknot/httpio/client_waits.py
+++ b/fescueknot/httpio/client_waits.py
@@ -6,6 +6,7 @@
 import types
 from collections.abc import Callable, Mapping
 
+from fescueknot.httpio.kernel_buffers import unread_bytes
 from fescueknot.httpio.timer import Timer
 
 # A client that takes no byte of its response for this time is disconnected.
@@ -25,13 +26,23 @@
 
 
 class TimeLimit:
-    """A time, read when a wait begins, and what is done at its end."""
+    """A time, read when a wait begins, and what is done at its end.
+
+    With ``after_delivery`` the action waits for a client that still reads what
+    the operating system holds: if it sends meanwhile, closing would cost it the
+    rest.
+    """
 
     def __init__(
-        self, *, limit_s: Callable[[], float], action: Callable[[], None]
+        self,
+        *,
+        limit_s: Callable[[], float],
+        action: Callable[[], None],
+        after_delivery: bool = False,
     ) -> None:
         self.limit_s = limit_s
         self.action = action
+        self.after_delivery = after_delivery
 
 
 class ClientWaits:
@@ -66,26 +77,33 @@
         if awaited is Awaited.RESPONSE_READ:
             self._watch(transport, stalled_s=0)
         elif limit is not None:
-            self._timer.set(limit.limit_s(), limit.action)
+            end = functools.partial(self._end, limit, transport)
+            self._timer.set(limit.limit_s(), end)
 
     def stop(self) -> None:
         """Wait for nothing."""
         self._timer.stop()
         self._current = Awaited.NOTHING
 
+    def _end(self, limit: TimeLimit, transport: asyncio.Transport) -> None:
+        if limit.after_delivery and unread_bytes(transport):
+            self.begin(Awaited.RESPONSE_READ, transport)
+        else:
+            limit.action()
+
     def _watch(self, transport: asyncio.Transport, *, stalled_s: float) -> None:
         check = functools.partial(
             self._check,
             transport,
-            transport.get_write_buffer_size(),
+            unread_bytes(transport),
             stalled_s + _READER_CHECK_INTERVAL_S,
         )
         self._timer.set(_READER_CHECK_INTERVAL_S, check)
 
     def _check(
-        self, transport: asyncio.Transport, unread_bytes: int, stalled_s: float
+        self, transport: asyncio.Transport, before_bytes: int, stalled_s: float
     ) -> None:
-        is_stalled = transport.get_write_buffer_size() == unread_bytes
+        is_stalled = unread_bytes(transport) == before_bytes
         if is_stalled and stalled_s >= _STALLED_READER_TIMEOUT_S:
             transport.abort()
         elif is_stalled:
--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -10,7 +10,7 @@
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.kernel_buffers import has_input
+from fescueknot.httpio.kernel_buffers import has_input, unread_bytes
 from fescueknot.httpio.messages import Response
 from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import (
@@ -94,7 +94,7 @@
     @property
     def has_unread(self) -> bool:
         """Return whether the client has not yet taken all of a response."""
-        return self._transport.get_write_buffer_size() > 0
+        return unread_bytes(self._transport) > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
@@ -218,7 +218,7 @@
         awaited = Awaited.NEXT_REQUEST
         if self._parser.has_begun and not self._discards_input:
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
-        elif self.has_unread:
+        elif self._transport.get_write_buffer_size():
             awaited = Awaited.RESPONSE_READ
         elif self._discards_input:
             awaited = Awaited.CLOSE
@@ -239,10 +239,13 @@
             Awaited.REQUEST_BODY: TimeLimit(
                 limit_s=lambda: _STALLED_BODY_TIMEOUT_S, action=abort
             ),
-            Awaited.CLOSE: TimeLimit(limit_s=lambda: _LINGER_S, action=abort),
+            Awaited.CLOSE: TimeLimit(
+                limit_s=lambda: _LINGER_S, action=abort, after_delivery=True
+            ),
             Awaited.NEXT_REQUEST: TimeLimit(
                 limit_s=lambda: self._handler.limits().idle_timeout_s,
                 action=self._close_gracefully,
+                after_delivery=True,
             ),
         }
 
--- a/fescueknot/httpio/kernel_buffers.py
+++ b/fescueknot/httpio/kernel_buffers.py
@@ -1,10 +1,17 @@
-"""What the operating system holds of connections: bytes not yet read."""
+"""What the operating system holds of connections, in both directions."""
 
 import asyncio
+import fcntl
+import functools
+import logging
 import select
 import socket
+import sys
+import termios
 
+_LOG = logging.getLogger('fescueknot.httpio')
 _POLL_NOW_MS = 0
+_COUNT = bytes(4)
 
 
 def has_input(transport: asyncio.BaseTransport) -> bool:
@@ -26,3 +33,31 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(_POLL_NOW_MS))
+
+
+def undelivered_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many sent bytes the other side has not acknowledged.
+
+    They are lost if the connection is reset. 0 without a socket, or if the
+    operating system does not tell.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _COUNT)
+    except OSError as error:
+        _log_unknown(error.errno)
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes wait here or there for the client to read."""
+    return transport.get_write_buffer_size() + undelivered_bytes(transport)
+
+
+@functools.cache
+def _log_unknown(errno: int) -> None:
+    """Log each kind of error once."""
+    _LOG.debug('httpio: cannot read the size of send queues: errno %d', errno)
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -41,7 +41,11 @@
 
     @property
     def responses_unread(self) -> int:
-        """Return the number of clients that have not read all of a response."""
+        """Return the number of clients that have not read all of a response.
+
+        What the operating system has not delivered yet is lost if the process
+        ends and the client sends another request, or if the host is gone.
+        """
         return sum(connection.has_unread for connection in self._connections)
 
     @property
