Keep connections to servers that read a long request late

Callers saw: requests with a body of 3 MB (and 0.2 MB) got 502 after 1.75 to 2.03 s when their live target read the body late: at 1.0 s 4 of 4 answered, at 1.8 s 2 of 4, at 2.5 s and 4 s none of 4 each. Nothing was disturbed.

Cause: TCP_USER_TIMEOUT of 1.5 s. Linux counts the time in which the receiver has no room, though it acknowledges the probes of its window.

Change: while a request of 16 KB or more is being delivered, the option is 15 s and TCP_INFO is read each 0.5 s: two packets or probes in a row without an acknowledgement and 1.5 s of silence end the connection. Once all is delivered the option is 1.5 s again, also at once where the kernel does not tell.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -1,11 +1,13 @@
 """One connection of an HTTP client."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import msgspec
 
 from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.delivery_watch import DeliveryWatch
 from fescueknot.httpio.encoding import (
     PIECE_BYTES,
     encode_request_head,
@@ -62,6 +64,12 @@
         self._share = buffers.share()
         self._transport: asyncio.Transport | None = None
         self._writer = PacedWriter()
+        self._watch = DeliveryWatch(
+            timeout_s=settings.unacknowledged_timeout_s,
+            on_unresponsive=functools.partial(
+                self._fail, 'the server acknowledges nothing'
+            ),
+        )
         self._response_future: asyncio.Future[Response] | None = None
         self._accepts: Callable[[Response], bool] | None = None
 
@@ -130,14 +138,15 @@
         self._parser.to_head_request = request.method == 'HEAD'
         pieces = joined(encode_request_head(request), request.body)
         self._transport.write(next(pieces))
-        if len(request.body) <= PIECE_BYTES:
-            return await self._response()
-        self._writer.is_done = False
-        sending = loop.create_task(self._writer.write(self._transport, pieces))
-        try:
-            return await self._response()
-        finally:
-            sending.cancel()
+        self._writer.is_done = len(request.body) <= PIECE_BYTES
+        delivery = self._watch.delivery(
+            self._transport, len(request.body), lambda: self._writer.is_done
+        )
+        with delivery:
+            if self._writer.is_done:
+                return await self._response()
+            with self._writer.writing(self._transport, pieces):
+                return await self._response()
 
     def close(self) -> None:
         """Abort the connection, without sending buffered bytes."""
--- a/fescueknot/httpio/paced_writer.py
+++ b/fescueknot/httpio/paced_writer.py
@@ -1,6 +1,7 @@
 """Writes a long message as fast as its receiver reads it."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterator
 
 from fescueknot.httpio.messages import Body
@@ -22,6 +23,19 @@
         """Write on."""
         self._may_write.set()
 
+    @contextlib.contextmanager
+    def writing(
+        self, transport: asyncio.Transport, pieces: Iterator[Body | memoryview]
+    ) -> Iterator[None]:
+        """Write in the background, at most until the block ends."""
+        task = asyncio.get_running_loop().create_task(
+            self.write(transport, pieces)
+        )
+        try:
+            yield
+        finally:
+            task.cancel()
+
     async def write(
         self, transport: asyncio.Transport, pieces: Iterator[Body | memoryview]
     ) -> None:
--- a/fescueknot/httpio/tcp_options.py
+++ b/fescueknot/httpio/tcp_options.py
@@ -18,11 +18,19 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(unacknowledged_timeout_s * _MS_PER_S),
-        ),
     )
     for level, name, setting in options:
         sock.setsockopt(level, name, setting)
+    set_unacknowledged_timeout(sock, unacknowledged_timeout_s)
+
+
+def set_unacknowledged_timeout(sock: socket.socket, timeout_s: float) -> None:
+    """Set how long sent bytes and probes may stay unacknowledged.
+
+    Time in which the receiver has no room for more counts too.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(timeout_s * _MS_PER_S),
+    )
