Cut a client that half-closes and leaves an answer unread

A client that sends a request with a large answer, then a part of a head and the end of its input, and reads nothing, made its node run the time limit of the head without end: the end of input stays readable, so "more has arrived" held each time.

Cause: the timer told from the half-read head what is awaited, though no input is read after its end. Now the rest is discarded, so that the limit of a stalled reader applies.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -122,6 +122,9 @@
     def eof_received(self) -> bool:
         """Treat a client that half-closes the connection as disconnected."""
         self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
+        self._discards_input = True
+        self._reader.discard()
+        self._restart_timer()
         return False
 
     def data_received(self, received: bytes) -> None:
--- a/tests/httpio/test_late_requests.py
+++ b/tests/httpio/test_late_requests.py
@@ -1,6 +1,7 @@
 """Requests that are received in part when their time is over."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -13,6 +14,9 @@
 _HEADER_TIMEOUT_S = 1
 _BODY_TIMEOUT_S = 15
 _JUST_BEFORE_S = 1e-10
+_LONG_S = 20
+_MAX_LOOKS = 100
+_GOOD = b'GET /x HTTP/1.1\r\n\r\n'
 _LATE_HEAD = b'GET /x HTT'
 _LATE_BODY = b'POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nx'
 
@@ -25,6 +29,24 @@
         return Limits(header_timeout_s=_HEADER_TIMEOUT_S, idle_timeout_s=60)
 
 
+class _LimitedTransport(KernelTransport):
+    """Can be asked for its socket a limited number of times."""
+
+    def __init__(self):
+        super().__init__()
+        self.looks = 0
+        self.closing = False
+
+    def is_closing(self):
+        return self.closing or super().is_closing()
+
+    def get_extra_info(self, name, default=None):
+        self.looks += name == 'socket'
+        if self.looks > _MAX_LOOKS:
+            raise RuntimeError('asked for the socket too often')
+        return super().get_extra_info(name, default)
+
+
 def _written(first, rest, rest_at_s):
     """Return what is written if the rest arrives at a time."""
 
@@ -72,3 +94,22 @@
     def test_a_head_that_trickles_in_is_refused(self):
         written = _written(_LATE_HEAD, b'P', _HEADER_TIMEOUT_S - _JUST_BEFORE_S)
         assert written.startswith(b'HTTP/1.1 408')
+
+    def test_a_client_that_half_closes_and_does_not_read_is_cut(self):
+        # Guards against a busy loop: the end of input stays readable, and the
+        # transport does not close while an answer is left unread.
+        async def scenario():
+            transport = _LimitedTransport()
+            connection = ServerConnection(handler=_Handler(), owner=NoOpOwner())
+            connection.connection_made(transport)
+            transport.unread_bytes = 1
+            connection.data_received(_GOOD + _LATE_HEAD)
+            transport.client.shutdown(socket.SHUT_WR)
+            transport.closing = not connection.eof_received()
+            await asyncio.sleep(_LONG_S)
+            transport.close_sockets()
+            return transport.looks, transport.aborted.is_set()
+
+        looks, is_cut = run_simulated(scenario)
+        assert looks < _MAX_LOOKS
+        assert is_cut
