Use no kept connection with unread input

A kept connection was taken for open although the server's close, or bytes that answer no request, lay in the kernel. A process that waits for a processor sent its call there. The call had never been read, but its answer counted as lost: no other target was tried, and callers got 502. A stray answer in the kernel was even taken for the answer of the next call to a peer, as those accept any.

Now a connection counts as open only without unread input; another is opened.

Before: test_a_connection_with_unseen_input_is_not_reused fails for a close (AnswerLostError) and for a stray response (taken as the answer). After: both open a second connection.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -12,6 +12,7 @@
     joined,
 )
 from fescueknot.httpio.errors import AnswerLostError
+from fescueknot.httpio.kernel_buffers import has_input
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.paced_writer import PacedWriter
@@ -67,11 +68,15 @@
 
     @property
     def is_open(self) -> bool:
-        """Return whether another request may be sent."""
+        """Return whether another request may be sent.
+
+        Unread input is the server's close or bytes that answer no request.
+        """
         return (
             self.reusable
             and self._transport is not None
             and not self._transport.is_closing()
+            and not has_input(self._transport)
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/httpio/test_client.py
+++ b/tests/httpio/test_client.py
@@ -3,6 +3,8 @@
 import asyncio
 import importlib.util
 import pathlib
+import select
+import socket
 
 import pytest
 
@@ -20,6 +22,7 @@
 _SPEC.loader.exec_module(_RAW_SERVER)
 RawServer = _RAW_SERVER.RawServer
 
+_LIMIT_S = 30
 _REQUEST = Request(method='GET', target='/', headers=(('host', 'x'),))
 
 
@@ -29,7 +32,26 @@
 
 
 def _run(scenario):
-    return asyncio.run(asyncio.wait_for(scenario(), 30))
+    return asyncio.run(asyncio.wait_for(scenario(), _LIMIT_S))
+
+
+def _address_of(listener):
+    host, port = listener.getsockname()
+    return Address(host=host, port=port)
+
+
+def _wait_for_input(sock):
+    select.select([sock.fileno()], [], [], _LIMIT_S)
+
+
+async def _serve_one(listener):
+    """Accept a connection and answer its request; return the socket."""
+    loop = asyncio.get_running_loop()
+    served, _ = await loop.sock_accept(listener)
+    served.setblocking(False)
+    await loop.sock_recv(served, 4096)
+    await loop.sock_sendall(served, _response())
+    return served
 
 
 class TestReuse:
@@ -67,6 +89,32 @@
 
         assert _run(scenario) == (b'mine', 2)
 
+    @pytest.mark.parametrize(
+        'last', [b'', _response(b'stray')], ids=['close', 'stray response']
+    )
+    def test_a_connection_with_unseen_input_is_not_reused(self, last):
+        # Guards against a request on a connection whose close lies in the
+        # kernel: its answer counted as lost, though it had never been read.
+        async def scenario():
+            with socket.create_server(('127.0.0.1', 0)) as listener:
+                listener.setblocking(False)
+                client = Client(address=_address_of(listener))
+                first, _ = await asyncio.gather(
+                    _serve_one(listener), client.exchange(_REQUEST)
+                )
+                first.sendall(last)
+                first.close()
+                for connection in client._idle:
+                    transport = connection._transport
+                    _wait_for_input(transport.get_extra_info('socket'))
+                second, _ = await asyncio.gather(
+                    _serve_one(listener), client.exchange(_REQUEST)
+                )
+                second.close()
+            return client.connections_opened
+
+        assert _run(scenario) == 2
+
     def test_a_connection_above_the_idle_limit_is_not_reused(self):
         async def scenario():
             server = await RawServer(_response(), _response()).start()
