Answer requests that are left at the end of a stop

Requests that a node took up to 2.8 s after SIGTERM and that were still without an answer at the end of the stop were cut with the process: also those whose target was no longer at work, as its answer was lost, or that waited for a slot and had never run. Callers saw a closed connection.

Now the time limits of requests that run are brought forward to the moment that holds for late calls (5.4 s of a grace of 6 s): 504 if the request may have run, 503 if it has not. The end of the stop stays where it was.

--- a/fescueknot/relay/answer_times.py
+++ b/fescueknot/relay/answer_times.py
@@ -1,6 +1,9 @@
 """Latest times of the answers to callers, which come sooner in a stop."""
 
+import asyncio
+import contextlib
 import math
+from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -32,10 +35,24 @@
 
     def __init__(self) -> None:
         self._end_s = math.inf
+        self._running: set[asyncio.Timeout] = set()
 
     def end_by(self, end_s: float) -> None:
-        """Have all that begin from now on answered by a time."""
+        """Have all requests answered by a time, those that run too."""
         self._end_s = end_s
+        for timeout in self._running:
+            if not timeout.expired():
+                timeout.reschedule(min(timeout.when(), end_s))
+
+    @contextlib.asynccontextmanager
+    async def timeout(self, times: AnswerTimes) -> AsyncIterator[None]:
+        """Raise ``TimeoutError`` in the block once an answer is due."""
+        async with asyncio.timeout_at(times.answer_by_s) as timeout:
+            self._running.add(timeout)
+            try:
+                yield
+            finally:
+                self._running.discard(timeout)
 
     def times(self, expires_s: float) -> AnswerTimes:
         """Return the times of a request that expires at ``expires_s``."""
--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -73,7 +73,7 @@
     ) -> None:
         """Take fewer requests from now on, as the node stops.
 
-        All that are taken from now on are answered by ``answer_by_s``.
+        All requests are answered by ``answer_by_s``, those that run too.
         """
         self._intake = intake
         if answer_by_s is not None:
@@ -140,7 +140,7 @@
             expires_s=times.expires_s,
         )
         try:
-            async with asyncio.timeout_at(times.answer_by_s):
+            async with self._deadlines.timeout(times):
                 response = await self._try_targets(
                     call, service, route, attempts
                 )
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -196,6 +196,38 @@
         assert (status, expires_s) == (504, pytest.approx(3.5))
 
 
+class TestEarlierRequests:
+    """Requests that were taken before the stop or early in it."""
+
+    # Guards against a connection that ends without an answer, for instance as
+    # the target's answer was lost.
+    @pytest.mark.parametrize('after_s', [0, 2.7])
+    def test_one_that_has_no_answer_in_the_end_gets_one(self, after_s):
+        response, sent = _late_call(after_s, NO_REPLY, idempotent=False)
+        assert response is not None
+        assert (response.status, sent) == (504, 1)
+
+    # Guards against an answer that comes sooner than the end requires.
+    def test_it_is_waited_for_until_the_end(self):
+        async def scenario():
+            node = _StoppingNode(NO_REPLY)
+            await node.call_of_target()
+            return asyncio.get_running_loop().time()
+
+        assert run_simulated(scenario) == pytest.approx(5.4)
+
+    # Guards against more time than the caller has.
+    def test_an_earlier_deadline_holds(self):
+        async def scenario():
+            node = _StoppingNode(NO_REPLY)
+            node.server.requests_in_progress += 1
+            request = make_request(deadline='3500')
+            response = await node.handler.answer(request, 'peer')
+            return response.status, asyncio.get_running_loop().time()
+
+        assert run_simulated(scenario) == (504, pytest.approx(3.5))
+
+
 class TestUnreadAnswers:
     """Answers that callers have not read to the end."""
 
