Stop listening when a stopping node takes nothing more

What callers saw: on new connections to a node that stops, requests sent 5.2 to 5.9 s after SIGTERM ended without an answer, closed or reset 0.3 to 0.7 s later; no target had them.

Cause: a node went on listening until its grace was nearly over, a second longer than it took any work, and ended half a second before the kill. A process that waits for a processor as long no longer reads what its kernel has accepted. Class: taking in goes on until the end, and what was taken in last has no time left. Now listening ends with the intake (4.1 s after SIGTERM of 6, or earlier when idle), idle connections are closed then, and what is left answers until 5.5 s; two quiet looks end the process.

Of the tests, test_it_ends_when_nothing_more_is_taken fails before: listening ends at 5.1 s.

--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -20,6 +20,8 @@
 # Requests taken late are answered this long before connections are cut.
 _ANSWER_MARGIN_S = 0.1
 _POLL_INTERVAL_S = 0.05
+# A connection that was just accepted is known to its server at the next look.
+_QUIET_LOOKS = 2
 
 
 class GracefulStop:
@@ -45,15 +47,14 @@
         self._gatekeeper.stopping = True
         self._caller_server.drain()
         self._peer_server.drain()
+        end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
-        await self._finish_requests(deadline_s)
-        end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
-        has_unread = self._stop_listening()
-        while has_unread or self.in_progress():
-            if loop.time() >= end_s:
-                return
-            await asyncio.sleep(_POLL_INTERVAL_S)
-            has_unread = self._stop_listening()
+        self._caller_handler.limit_intake(
+            Intake.REPEATABLE_CALLS, answer_by_s=end_s - _ANSWER_MARGIN_S
+        )
+        await self._wait_until_idle(deadline_s - _MIN_TIME_OF_CALL_S)
+        self._caller_handler.limit_intake(Intake.NOTHING)
+        await self._finish_requests(end_s)
 
     def in_progress(self) -> int:
         """Return the number of requests in progress.
@@ -72,15 +73,19 @@
         peers_unread = self._peer_server.stop_listening()
         return callers_unread or peers_unread
 
-    async def _finish_requests(self, deadline_s: float) -> None:
-        """Take fewer and fewer requests until idle or until the deadline."""
-        end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
-        self._caller_handler.limit_intake(
-            Intake.REPEATABLE_CALLS, answer_by_s=end_s - _ANSWER_MARGIN_S
-        )
-        await self._wait_until_idle(deadline_s - _MIN_TIME_OF_CALL_S)
-        self._caller_handler.limit_intake(Intake.NOTHING)
-        await self._wait_until_idle(deadline_s)
+    async def _finish_requests(self, end_s: float) -> None:
+        """Stop listening, and answer what was read or accepted before.
+
+        This begins well before the end: a process that waits for a processor
+        would not read connections that its kernel accepts at the last moment.
+        """
+        loop = asyncio.get_running_loop()
+        quiet_looks = 0
+        while quiet_looks < _QUIET_LOOKS and loop.time() < end_s:
+            has_unread = self._stop_listening()
+            is_quiet = not has_unread and not self.in_progress()
+            quiet_looks = quiet_looks + 1 if is_quiet else 0
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _wait_until_idle(self, deadline_s: float) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -24,6 +24,9 @@
 from tests.relay.simulated_loop import run_simulated
 
 _GRACE_S = 6
+# No work of callers is taken after the first time, no calls after the second.
+_CALLERS_LEFT_S = 2.8
+_INTAKE_ENDS_S = 4.2
 # The way of a call to its target, and that of the answer.
 _ONE_WAY_S = 0.08
 _TOO_LATE = Response(
@@ -38,12 +41,17 @@
         self.requests_in_progress = 0
         self.responses_unread = 0
         self.has_unread_requests = False
+        self.stopped_at_s = None
+        self.last_stopped_at_s = None
 
     def drain(self):
         """Do nothing: there are no connections."""
 
     def stop_listening(self):
         """Return whether requests are to be read."""
+        self.last_stopped_at_s = asyncio.get_running_loop().time()
+        if self.stopped_at_s is None:
+            self.stopped_at_s = self.last_stopped_at_s
         return self.has_unread_requests
 
 
@@ -230,6 +238,39 @@
         assert run_simulated(scenario) == (504, pytest.approx(3.5))
 
 
+class TestListening:
+    """When a node that stops accepts no connections any more."""
+
+    def test_it_ends_when_nothing_more_is_taken(self):
+        # Guards against connections that the kernel accepts for a process
+        # which has no time left to read them, as it waits for a processor.
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.requests_in_progress = 1
+            await node.stop
+            return node.server.stopped_at_s
+
+        assert run_simulated(scenario) <= _INTAKE_ENDS_S
+
+    def test_connections_that_become_idle_later_are_closed(self):
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.requests_in_progress = 1
+            await node.stop
+            return node.server.last_stopped_at_s
+
+        assert run_simulated(scenario) > _INTAKE_ENDS_S
+
+    def test_calls_of_the_target_are_taken_before(self):
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.requests_in_progress = 1
+            await node.stop
+            return node.server.stopped_at_s
+
+        assert run_simulated(scenario) > _CALLERS_LEFT_S
+
+
 class TestUnreadAnswers:
     """Answers that callers have not read to the end."""
 
