Write no more of a request once its connection has ended

Callers saw: a node whose standard error is a pipe that nobody reads stood still for good. 60 uploads of 8 MB that their target reset left 49,312 bytes of "socket.send() raised exception." in the pipe (64 KB); with 95 the node took no further request until the trial was ended after 110 s.

Cause: PacedWriter goes on when the connection is lost, and asyncio logs each write after the fifth, about 26 lines for such an upload.

Change: it stops when the transport is closing.

--- a/fescueknot/httpio/paced_writer.py
+++ b/fescueknot/httpio/paced_writer.py
@@ -39,11 +39,17 @@
     async def write(
         self, transport: asyncio.Transport, pieces: Iterator[Body | memoryview]
     ) -> None:
-        """Write all pieces; ``is_done`` is false until then."""
+        """Write all pieces; ``is_done`` is false until then.
+
+        What is left is dropped when the connection ends: asyncio logs each
+        later write.
+        """
         self.is_done = False
         piece = next(pieces, None)
         while piece is not None:
             await self._may_write.wait()
+            if transport.is_closing():
+                return
             transport.write(piece)
             piece = next(pieces, None)
         self.is_done = True
