Let no line on standard error hold a node up

Cause: the decision log writes to standard output without blocking, but asyncio and logging write to standard error, which blocked.

Change: standard error does not block either; logging drops the line.

--- a/fescueknot/platform/main.py
+++ b/fescueknot/platform/main.py
@@ -15,6 +15,7 @@
 from fescueknot.relay.settings import SettingsFile
 from fescueknot.routes.messages import Configuration
 from fescueknot.targets.messages import Heartbeat
+from fescueknot.telemetry.standard_error import never_block
 
 _SETTINGS_VARIABLE = 'FESCUEKNOT_CONFIG'
 
@@ -43,6 +44,7 @@
 
 async def serve() -> None:
     """Run a node until it is stopped by a signal."""
+    never_block()
     source = SettingsFile(path=os.environ[_SETTINGS_VARIABLE])
     await NodeProcess(source=source, adapter=PlatformAdapter()).run()
     # Requests that are still in progress have exceeded the grace period, so
