Keep the cancellation of an exchange that connects

A client's cancellation was lost if it came in the same steps of the loop as its connection: asyncio.wait_for of Python 3.11 then returns the connection. The request was sent although its caller had left or its time limit was over, and was waited for without any limit; the caller's connection could get its answer only once the other side answered.

asyncio.timeout raises the cancellation in the same task, so it can't be lost.

Evidence: tests/httpio/test_client_cancelled.py on the code before: 4 of 7 fail (cancelled 0, 1 and 2 steps after the connection; a time limit of 0.3 s lasts 60 s, the end of the test). Now 7 pass. wait_for in relay/dispatch.py stays: a reply that it returns to a cancelled task is read by nobody, and it sends nothing once the time is over.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -126,18 +126,8 @@
         self._idle.append(connection)
 
     async def _connect(self) -> ClientConnection:
-        loop = asyncio.get_running_loop()
         try:
-            transport, connection = await asyncio.wait_for(
-                loop.create_connection(
-                    lambda: ClientConnection(
-                        settings=self._settings, buffers=self._buffers
-                    ),
-                    self._address.host,
-                    self._address.port,
-                ),
-                self._settings.connect_timeout_s,
-            )
+            transport, connection = await self._open()
         except ConnectionRefusedError as error:
             raise NotListeningError(self._failure_text(error)) from error
         except _CONNECT_ERRORS as error:
@@ -154,6 +144,21 @@
             raise NotSentError(self._failure_text(error)) from error
         return connection
 
+    async def _open(self) -> tuple[asyncio.Transport, ClientConnection]:
+        """Open a connection; raise ``TimeoutError`` if it takes too long.
+
+        ``asyncio.wait_for`` of Python 3.11 drops a cancellation that comes
+        together with the connection; ``asyncio.timeout`` does not.
+        """
+        async with asyncio.timeout(self._settings.connect_timeout_s):
+            return await asyncio.get_running_loop().create_connection(
+                lambda: ClientConnection(
+                    settings=self._settings, buffers=self._buffers
+                ),
+                self._address.host,
+                self._address.port,
+            )
+
     def _failure_text(self, error: Exception) -> str:
         return f'cannot connect to {self._address}: {error!r}'
 
--- /dev/null
+++ b/tests/httpio/test_client_cancelled.py
@@ -0,0 +1,85 @@
+"""Exchanges of a client that are cancelled."""
+
+import asyncio
+
+import pytest
+
+from fescueknot.httpio.client import Client
+from fescueknot.httpio.messages import Request
+from fescueknot.identity import Address
+from tests.httpio.fake_transport import FakeTransport
+from tests.relay.simulated_loop import run_simulated
+
+_REQUEST = Request(method='GET', target='/', headers=(('host', 'h'),))
+# Steps of the loop in which a client learns that it is connected.
+_STEPS = range(6)
+
+
+class _Socket:
+    def setsockopt(self, *option):
+        """Accept every option."""
+
+
+class _Transport(FakeTransport):
+    def get_extra_info(self, name, default=None):
+        return _Socket()
+
+
+class _Network:
+    """Connects once it is told to; replaces that of the running loop."""
+
+    def __init__(self):
+        self.transport = _Transport()
+        self._connected = asyncio.Event()
+        asyncio.get_running_loop().create_connection = self._connect
+
+    def connect(self):
+        self._connected.set()
+
+    async def _connect(self, make_protocol, host, port):
+        await self._connected.wait()
+        protocol = make_protocol()
+        protocol.connection_made(self.transport)
+        return self.transport, protocol
+
+
+class TestCancelledWhileConnecting:
+    """The end of a caller's time limit while a connection is opened."""
+
+    # Guards against a request that is sent after its caller has left, and is
+    # waited for without any limit: the cancellation was lost when it came in
+    # the same steps of the loop as the connection.
+    @pytest.mark.parametrize('steps', _STEPS)
+    def test_it_is_not_lost(self, steps):
+        async def scenario():
+            network = _Network()
+            client = Client(address=Address(host='10.0.0.1', port=1))
+            exchange = asyncio.ensure_future(client.exchange(_REQUEST))
+            await asyncio.sleep(0.1)
+            network.connect()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            sent_before = bytes(network.transport.written)
+            exchange.cancel()
+            done, _ = await asyncio.wait((exchange,), timeout=60)
+            sent_after = bytes(network.transport.written) != sent_before
+            return bool(done) and exchange.cancelled(), sent_after
+
+        assert run_simulated(scenario) == (True, False)
+
+    # Guards against an exchange that outlives the time limit of its caller.
+    def test_a_time_limit_holds(self):
+        async def scenario():
+            network = _Network()
+            client = Client(address=Address(host='10.0.0.1', port=1))
+            loop = asyncio.get_running_loop()
+            loop.call_at(0.3, network.connect)
+
+            async def exchange():
+                async with asyncio.timeout_at(0.3):
+                    await client.exchange(_REQUEST)
+
+            await asyncio.wait((asyncio.ensure_future(exchange()),), timeout=60)
+            return loop.time()
+
+        assert run_simulated(scenario) == pytest.approx(0.3)
