Deliver an answer whose Keep-Alive has no readable number

A target's answer with 'Keep-Alive: timeout=' and a superscript digit (str.isdigit is true, float fails) raised in data_received: the transport was closed, the answer was lost, and its caller got a 502.

Evidence: TestOddKeepAlive on the code before: 1 of 4 fails (the superscript, AnswerLostError); now 4 pass.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -14,6 +14,7 @@
 from fescueknot.httpio.errors import AnswerLostError
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
+from fescueknot.httpio.numbers import parse_count
 from fescueknot.httpio.paced_writer import PacedWriter
 from fescueknot.httpio.parsing import (
     MAX_RESPONSE_BODY_BYTES,
@@ -201,5 +202,6 @@
             self.reusable = False
         for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
             name, _, seconds = part.strip().partition('=')
-            if name == 'timeout' and seconds.isdigit():
-                self.server_idle_timeout_s = float(seconds)
+            timeout_s = parse_count(seconds)
+            if name == 'timeout' and timeout_s is not None:
+                self.server_idle_timeout_s = float(timeout_s)
--- a/tests/httpio/test_client.py
+++ b/tests/httpio/test_client.py
@@ -188,3 +188,20 @@
             return len(client._idle)
 
         assert not _run(scenario)
+
+
+class TestOddKeepAlive:
+    """``Keep-Alive`` headers without a proper number."""
+
+    # Guards against an answer that is lost as its connection's idle time
+    # can't be read.
+    @pytest.mark.parametrize('seconds', ['\xb2', '9' * 400, '-1', ''])
+    def test_the_answer_is_delivered(self, seconds):
+        async def scenario():
+            head = f'HTTP/1.1 200 OK\r\nKeep-Alive: timeout={seconds}\r\n'
+            answer = head + 'Content-Length: 2\r\n\r\nok'
+            server = await RawServer(answer.encode('latin-1')).start()
+            client = Client(address=server.address)
+            return await client.exchange(_REQUEST)
+
+        assert _run(scenario).body == b'ok'
