Take an odd deadline of a request for none

A deadline of a superscript digit, of 400 or of 5,000 digits made the handler raise: its caller got a 500 that closes the connection, and the requests behind it, up to fifteen and some of them at work, were cancelled.

The route's timeout now holds for them, as for others that are no number.

Now 10 pass: every request of each example is answered, unless an answer before it has said that it closes.

--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -5,6 +5,7 @@
 from fescueknot.calls import Importance
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
+from fescueknot.httpio.numbers import parse_count
 from fescueknot.relay.answer_times import AnswerDeadlines, AnswerTimes
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.call_log import CallLog
@@ -159,8 +160,8 @@
 
     def _remaining_s(self, request: Request, route: Route) -> float:
         """Return the caller's remaining time; default: the route's timeout."""
-        value = request.header(self._header_names.remaining_ms) or ''
-        return int(value) / _MS_PER_S if value.isdigit() else route.timeout_s
+        left_ms = parse_count(request.header(self._header_names.remaining_ms))
+        return route.timeout_s if left_ms is None else left_ms / _MS_PER_S
 
     def _lineage(
         self, request: Request, route: Route, expires_s: float
