Answer all of a connection's requests although one handler fails

An exception in a handler was answered with a 500 that closed the connection, and a handler whose own wait was cancelled by others with an abort; both cancelled all requests behind it, also while targets worked on them. Nothing is wrong with the connection in either case.

Both get a 500 now and the connection stays; the cancelled wait has a line in the log.

--- a/fescueknot/httpio/pipeline.py
+++ b/fescueknot/httpio/pipeline.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import collections
+import logging
 from collections.abc import Callable, Iterator
 
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Request, Response, size_bytes
 
+_LOG = logging.getLogger('fescueknot.httpio')
 # Pipelined requests of one connection that are parsed before the rest waits.
 _MAX_PENDING_REQUESTS = 16
+_FAILED_STATUS = 500
 AnswerFuture = asyncio.Future[Response | None]
 
 
@@ -35,17 +38,19 @@
     def held_bytes(self) -> int:
         """Return about how many bytes the request and its response take."""
         held = size_bytes(self.request)
-        if self.is_done and not self.answer.cancelled():
+        if self.is_done:
             response = self.response()
             held += size_bytes(response) if response else 0
         return held
 
     def response(self) -> Response | None:
-        """Return the response; 500 if the handler failed."""
-        if self.answer.cancelled():
-            return None
-        if self.answer.exception() is not None:
-            return Response(status=500, closing=True)
+        """Return the response; 500 if the handler failed.
+
+        A handler that was cancelled while its request is pending has failed
+        too: a wait of its own was cancelled by others.
+        """
+        if self.answer.cancelled() or self.answer.exception() is not None:
+            return Response(status=_FAILED_STATUS)
         return self.answer.result()
 
 
@@ -114,9 +119,13 @@
 
     def pop_answered(self) -> PipelinedRequest | None:
         """Remove and return the first pending request if it is done."""
-        if self._pending and self._pending[0].is_done:
-            return self._pending.popleft()
-        return None
+        if not (self._pending and self._pending[0].is_done):
+            return None
+        answered = self._pending.popleft()
+        if answered.answer.cancelled():
+            # Cancelled by the connection, it would not be pending any more.
+            _LOG.warning('httpio: a wait of a handler was cancelled')
+        return answered
 
     def cancel_all(self) -> int:
         """Cancel and remove all pending requests; return their number."""
