Read on behind a request that offers an upgrade

A proper request with 'Connection: Upgrade' (clients of Java offer h2c with the first request of a connection) was answered, and then an unasked 400 closed the connection: its client could take that for the answer of the next request, and the refusal's linger could cut the answer in progress. With a body it was worse: httptools leaves the body out, so that the request ran without it, and hands it back as what follows.

An offer is now ignored (RFC 9110, 7.8) and the next request is read. As the body can't be had, a request with one is refused with 400 before a handler sees it; these two belong together, as a body read as a request would be one that nobody sent. CONNECT is treated as before.

Failed try: reading on without the check of bodies, in which the test of bodies met a body parsed as a request.

--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -12,6 +12,7 @@
 from fescueknot.httpio.messages import Limits, Request, Response
 
 _FIRST_FINAL_STATUS = 200
+_TUNNEL_METHOD = b'CONNECT'
 # Default limits. They bound the memory that a server can make a client use for
 # one response.
 MAX_RESPONSE_HEAD_BYTES = 65_536
@@ -81,7 +82,7 @@
         self._check_head(0)
 
     def on_headers_complete(self) -> None:
-        """Check ``Expect`` and ``Content-Length``."""
+        """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
         self.in_body = True
         self.expects_continue = any(
             name == 'expect' and value.lower() == '100-continue'
@@ -90,6 +91,8 @@
         for name, value in self._headers:
             if name == 'content-length' and int(value) > self.max_body_bytes:
                 self._refuse(BodyTooLargeError(value))
+        if self._parser.should_upgrade() and self._has_body():
+            self._refuse(MalformedError('a body that ``httptools`` skips'))
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and check its size."""
@@ -117,14 +120,32 @@
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
             raise self._parse_error or MalformedError(str(error)) from error
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
+        except httptools.HttpParserError as error:
             raise MalformedError(str(error)) from error
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade(piece[upgrade.args[0] :])
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
 
+    def _has_body(self) -> bool:
+        headers = dict(self._headers)
+        if 'transfer-encoding' in headers:
+            return True
+        return int(headers.get('content-length', 0)) > 0
+
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Go on behind a request that asked for another protocol.
+
+        A server may ignore that (RFC 9110, 7.8). Behind ``CONNECT``, no
+        request can follow.
+        """
+        is_tunnel = self._parser.get_method() == _TUNNEL_METHOD
+        if is_tunnel:
+            raise MalformedError('a tunnel')
+        self._parser = httptools.HttpRequestParser(self)
+        if rest:
+            self._feed_piece(rest)
+
     def _check_received(self, received_bytes: int) -> None:
         """Limit what was received of the request that is in progress.
 
