Close the connection of an exchange that is cancelled with its answer

A caller that left in the very step in which its answer had come left a connection to the target that nobody held: it was neither kept for later nor closed, and counted at the target until that closed it as idle. Such a connection is closed now.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -61,6 +61,10 @@
         except AnswerLostError:
             self.close()
             raise
+        except asyncio.CancelledError:
+            # The response may have come in the same moment.
+            connection.close()
+            raise
         self._store_idle(connection)
         return response
 
--- a/tests/httpio/test_client_cancelled.py
+++ b/tests/httpio/test_client_cancelled.py
@@ -11,6 +11,7 @@
 from tests.relay.simulated_loop import run_simulated
 
 _REQUEST = Request(method='GET', target='/', headers=(('host', 'h'),))
+_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
 # Steps of the loop in which a client learns that it is connected.
 _STEPS = range(6)
 
@@ -30,6 +31,7 @@
 
     def __init__(self):
         self.transport = _Transport()
+        self.protocol = None
         self._connected = asyncio.Event()
         asyncio.get_running_loop().create_connection = self._connect
 
@@ -38,9 +40,9 @@
 
     async def _connect(self, make_protocol, host, port):
         await self._connected.wait()
-        protocol = make_protocol()
-        protocol.connection_made(self.transport)
-        return self.transport, protocol
+        self.protocol = make_protocol()
+        self.protocol.connection_made(self.transport)
+        return self.transport, self.protocol
 
 
 class TestCancelledWhileConnecting:
@@ -83,3 +85,27 @@
             return loop.time()
 
         assert run_simulated(scenario) == pytest.approx(0.3)
+
+
+class TestCancelledWithItsAnswer:
+    """A caller that leaves in the step in which its answer has come."""
+
+    # Guards against a connection that nobody holds and nobody closes: its
+    # server counts it until it is idle for too long.
+    @pytest.mark.parametrize('steps', _STEPS)
+    def test_the_connection_is_kept_for_later_or_closed(self, steps):
+        async def scenario():
+            network = _Network()
+            network.connect()
+            client = Client(address=Address(host='10.0.0.1', port=1))
+            exchange = asyncio.ensure_future(client.exchange(_REQUEST))
+            await asyncio.sleep(0.1)
+            network.protocol.data_received(_ANSWER)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            exchange.cancel()
+            await asyncio.wait((exchange,))
+            client.close()
+            return network.transport.is_closing()
+
+        assert run_simulated(scenario)
