Send the last answers before a server of threads closes

A planned stop waits until the handlers have ended, and then closed all connections at once: what waitress still held of their answers was cut off, and requests that it had read and that waited for a thread got no answer.

The stop now waits up to 1 s for each server until no connection has a request or a part of an answer left. The stand-in of the object API still closes at once, as its watches never end.

--- a/fescueknot/node/servers.py
+++ b/fescueknot/node/servers.py
@@ -16,6 +16,8 @@
 
 _BACKLOG = 256
 _CLEANUP_INTERVAL_S = 5
+# For the last answers of a planned stop to be sent.
+_LAST_ANSWERS_S = 1.0
 
 
 class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,8 +73,12 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Close the port and all connections, and end the threads."""
-        stop = ServerStop(server=self._server, sockets=self._sockets)
+        """Send the last answers, close all connections, end the threads."""
+        stop = ServerStop(
+            server=self._server,
+            sockets=self._sockets,
+            max_wait_s=_LAST_ANSWERS_S,
+        )
         stop.run(self._thread)
 
 
