Send heads with letters that are not in Latin-1

A head with such a letter could not be encoded. On the way to another node (a route, service or instance named so, in the JSON of the call's head) the handler failed with every call, and its connection was neither used nor closed. On the way to a client the request was dropped without an answer, and the answer of the next pipelined request took its place.

Any other line that is not in Latin-1 goes out as UTF-8; lines that are keep their bytes.

Evidence, on the code before: TestNames fails for the Cyrillic name with UnicodeEncodeError (1 of 2), TestLettersInHeaders gets one answer for two requests. Now both pass, with the rest of their files (12).

--- a/fescueknot/httpio/encoding.py
+++ b/fescueknot/httpio/encoding.py
@@ -24,6 +24,7 @@
 _NOT_FORWARDED = HOP_BY_HOP_HEADERS | {'expect'}
 # Longer messages are written in pieces of this size.
 PIECE_BYTES = 131_072
+_CHARSET = 'latin-1'
 _BODYLESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 _BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -75,7 +76,15 @@
 
 def _join(lines: list[str]) -> bytes:
     lines.extend(('', ''))
-    return '\r\n'.join(lines).encode('latin-1')
+    return b'\r\n'.join(map(_encoded, lines))
+
+
+def _encoded(line: str) -> bytes:
+    """Return the bytes that a line was read from; UTF-8 for other text."""
+    try:
+        return line.encode(_CHARSET)
+    except UnicodeEncodeError:
+        return line.encode()
 
 
 def _connection_options(headers: Headers) -> frozenset[str]:
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -1,6 +1,7 @@
 """Requests between a node and its peers, the other nodes."""
 
 import asyncio
+import json
 import types
 from collections.abc import Callable, Mapping
 from typing import TypeVar
@@ -235,7 +236,7 @@
         remaining_ms=max(0, int(remaining_s * _MS_PER_S)),
     )
     passed_on = remove_headers(end_to_end(call.request.headers), replaced)
-    value = msgspec.json.encode(head).decode()
+    value = _header_text(head)
     return Request(
         method=call.request.method,
         target=call.request.target,
@@ -244,6 +245,14 @@
     )
 
 
+def _header_text(head: CallHead | AnswerHead) -> str:
+    """Return the JSON text of a head, all of it ASCII."""
+    text = msgspec.json.encode(head).decode()
+    if text.isascii():
+        return text
+    return json.dumps(json.loads(text), separators=(',', ':'))
+
+
 def _decode_reply(response: Response) -> Reply:
     text = response.header(ANSWER_HEADER)
     if text is None and response.status == _REFUSED_STATUS:
@@ -269,7 +278,7 @@
 
 
 def _encode_reply(reply: Reply) -> Response:
-    answer_header = (ANSWER_HEADER, msgspec.json.encode(reply.head).decode())
+    answer_header = (ANSWER_HEADER, _header_text(reply.head))
     if reply.response is None:
         unknown = reply.head.ending is Ending.UNKNOWN
         status = _UNKNOWN_STATUS if unknown else _REFUSED_STATUS
--- a/tests/httpio/test_failing_handlers.py
+++ b/tests/httpio/test_failing_handlers.py
@@ -47,7 +47,12 @@
     await shared
 
 
+async def _answer_with_other_letters():
+    return Response(status=200, headers=(('a', '\u0432'), ('b', '\xe9')))
+
+
 _ANSWERS = {
+    '/letters': _answer_with_other_letters,
     '/work': _work,
     '/fault': _fail,
     '/cancelled': _wait_for_a_cancelled_future,
@@ -92,3 +97,12 @@
     # Guards against a connection that ends without an answer.
     def test_its_own_request_is_answered(self, failing):
         assert _play(failing) == ([500], True)
+
+
+class TestLettersInHeaders:
+    """Headers with letters that are not in the charset of headers."""
+
+    # Guards against an answer that can't be written: its request and those
+    # behind it waited until their clients left.
+    def test_each_request_is_answered(self):
+        assert _play('/letters', '/work') == ([200, 200], True)
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from fescueknot.calls import Importance
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.server import Server
@@ -34,13 +36,13 @@
         return self.reply
 
 
-def _call(attempt='c1', root='c1'):
+def _call(attempt='c1', root='c1', route='r'):
     head = CallHead(
         attempt=attempt,
         instance='i-1',
         started_ms=7,
         idempotent=True,
-        route='r',
+        route=route,
         lineage=Lineage(root=root, importance=Importance.HIGH, depth=1),
         remaining_ms=0,
         max_wait_ms=9,
@@ -123,6 +125,24 @@
         assert received_reply.response is None
 
 
+class TestNames:
+    """Names that the operator or a target has chosen."""
+
+    # Guards against a handler that fails on every call of a route, and against
+    # connections that nobody closes then.
+    @pytest.mark.parametrize('name', ['entr\xe9e', '\u0432\u0445\u043e\u0434'])
+    def test_they_may_hold_any_letters(self, name):
+        async def scenario():
+            reply = Reply(
+                head=AnswerHead(ending=Ending.TURNED_AWAY, detail=name)
+            )
+            return await _exchange(reply, route=name)
+
+        _, received_call, received_reply = run(scenario)
+        assert received_call.head.route == name
+        assert received_reply.head.detail == name
+
+
 class TestNotSent:
     """Calls that cannot be sent or decoded."""
 
