--- a/fescueknot/relay/caller_handler.py
+++ b/fescueknot/relay/caller_handler.py
@@ -5,6 +5,7 @@
 from fescueknot.calls import Importance
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
+from fescueknot.httpio.numbers import parse_count
 from fescueknot.relay.answer_times import AnswerDeadlines, AnswerTimes
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.call_log import CallLog
@@ -159,8 +160,8 @@
 
     def _remaining_s(self, request: Request, route: Route) -> float:
         """Return the caller's remaining time; default: the route's timeout."""
-        value = request.header(self._header_names.remaining_ms) or ''
-        return int(value) / _MS_PER_S if value.isdigit() else route.timeout_s
+        left_ms = parse_count(request.header(self._header_names.remaining_ms))
+        return route.timeout_s if left_ms is None else left_ms / _MS_PER_S
 
     def _lineage(
         self, request: Request, route: Route, expires_s: float
@@ -262,12 +263,17 @@
             now_s = asyncio.get_running_loop().time()
             if not self._levels.is_open(route.name, now_s):
                 return False
-        if attempts.at_target >= route.attempts:
+        if attempts.at_target >= route.attempts or _has_expired(call):
             return False
         urgency = _retry_urgency(call, self._runs)
         return self._selector.retry_budget(service).spend(urgency)
 
 
+def _has_expired(call: Call) -> bool:
+    """Return whether the deadline is over that targets are told."""
+    return call.expires_s <= asyncio.get_running_loop().time()
+
+
 def _retry_urgency(call: Call, runs: LocalRuns) -> float:
     """Return the urgency of retrying a call, for the retry budget.
 
