Answer what has been read before a node's process ends

After the stop the loop runs on for 0.1 s and more to write the log, and then the process ends, whatever has been read meanwhile. Connections with half a head, and those that are accepted but not yet registered when the listening socket is closed, are not idle and stay open then. A process that stands still in the last of these waits reads the rest of a request and starts to answer it in the same turn of the loop in which it ends.

Now the last step answers what has been read or lies in the kernel: at most 32 turns of the event loop, and eight without work at the end, with no waiting.

Before, a trial: half a head at the stop, the rest 0.3 s before the end while the loop stands still: the client has nothing. After: the 503 that says that the request has not run. Without the loop in settle three of four cases of test_end_of_process.py fail.

--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -20,6 +20,10 @@
 # Requests taken late are answered this long before connections are cut.
 _ANSWER_MARGIN_S = 0.1
 _POLL_INTERVAL_S = 0.05
+# Turns of the event loop in which a connection is accepted and its request read
+# and answered. Without any work for as many, nothing has arrived.
+_QUIET_TURNS = 8
+_MAX_LAST_TURNS = 32
 
 
 class GracefulStop:
@@ -55,6 +59,19 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
             has_unread = self._stop_listening()
 
+    async def settle(self) -> None:
+        """Answer what has been read or has arrived; then the process may end.
+
+        Takes a bounded number of turns of the event loop and waits for nothing.
+        """
+        turns = 0
+        quiet_turns = 0
+        while turns < _MAX_LAST_TURNS and quiet_turns < _QUIET_TURNS:
+            await asyncio.sleep(0)
+            has_work = self._stop_listening() or self.in_progress()
+            quiet_turns = 0 if has_work else quiet_turns + 1
+            turns += 1
+
     def in_progress(self) -> int:
         """Return the number of requests in progress.
 
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -237,6 +237,7 @@
             'node.stopped', unanswered=dict(self._servers.unanswered())
         )
         await self._housekeeping.finish()
+        await self._graceful_stop.settle()
 
     def _start_tasks(self) -> None:
         """Start the tasks that run until the process ends."""
