Answer the requests behind one whose handler failed

The 500 for an error in a handler closed its connection at once, and later pipelined requests that had been passed on were cancelled without an answer. Now the connection is closed after the last request that has been started, as in a drain.

Before: test_a_failed_handler_does_not_cut_the_requests_behind_it has the 500 and the end of the connection. After: the answer too.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -191,8 +191,9 @@
             self._pipeline.cancel_all(Unanswered.NO_ANSWER)
             self._transport.abort()
             return False
-        draining = self._owner.draining and not self._pipeline.any_started
-        closing = not pending.keep_alive or response.closing or draining
+        may_close = response.closing or self._owner.draining
+        closing = may_close and not self._pipeline.any_started
+        closing = closing or not pending.keep_alive
         head = encode_response_head(response, closing=closing)
         is_bodyless = pending.request.method == 'HEAD'
         for piece in joined(head, b'' if is_bodyless else response.body):
--- a/tests/httpio/test_refusals_in_pipelines.py
+++ b/tests/httpio/test_refusals_in_pipelines.py
@@ -14,11 +14,14 @@
 _HEADER_TIMEOUT_S = 1
 _LONG_S = 20
 _GOOD = b'GET /good HTTP/1.1\r\nHost: x\r\n\r\n'
+_FAILING = b'GET /failing HTTP/1.1\r\nHost: x\r\n\r\n'
 _PIPELINE_LENGTH = 16
 
 
 class _Handler(Handler):
     async def answer(self, request, peer):
+        if request.target == '/failing':
+            raise ZeroDivisionError
         await asyncio.sleep(_WORK_S)
         return Response(status=200, body=b'whole')
 
@@ -80,3 +83,10 @@
         )
         assert written.count(b'whole') == _PIPELINE_LENGTH + 1
         assert b' 408 ' not in written
+
+    def test_a_failed_handler_does_not_cut_the_requests_behind_it(self):
+        # Guards against the close after a 500: it cancelled requests behind it
+        # that had been passed on.
+        written = _written(_FAILING + _GOOD)
+        assert written.count(b'HTTP/1.1 500') == 1
+        assert written.count(b'whole') == 1
