Tell a node that its call crossed the end of another

A call that is on the way when a stopping node closes an idle connection is never read, but its node cannot tell: the ending was unknown, a call that must not run twice was not tried elsewhere, and the caller got 502. Now a stopping node sends a refusal on an idle connection before it closes that. A node without a call in progress drops it with the connection; one whose call crosses it tries another target. Callers' connections get none.

Before: test_the_caller_learns_that_its_call_was_not_read ends as unknown. After: refused, the node stops; the target has seen one call of two.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -158,10 +158,15 @@
         is_between_requests = not self._pipeline and not self._parser.has_begun
         if self._discards_input or not is_between_requests:
             return False
-        is_unread = has_input(self._transport)
-        if not is_unread:
+        if has_input(self._transport):
+            return True
+        notice = self._handler.closing_notice
+        if notice is None:
             self._close_gracefully()
-        return is_unread
+        else:
+            self._pipeline.add_final_response(notice)
+            self._process_pipeline()
+        return False
 
     def _process_pipeline(self) -> None:
         """Send the responses that are due and start the next handlers."""
--- a/fescueknot/httpio/handler.py
+++ b/fescueknot/httpio/handler.py
@@ -6,7 +6,14 @@
 
 
 class Handler(abc.ABC):
-    """Answers the requests of a server's connections."""
+    """Answers the requests of a server's connections.
+
+    An idle connection gets the ``closing_notice``, if any, before it is closed.
+    A client that reads it as the answer to a request that crosses the close
+    learns that this request has not been read.
+    """
+
+    closing_notice: Response | None = None
 
     @abc.abstractmethod
     async def answer(self, request: Request, peer: str) -> Response | None:
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -204,6 +204,17 @@
         """Return wide limits; callers' nodes have applied the narrow ones."""
         return _PEER_LIMITS
 
+    @property
+    def closing_notice(self) -> Response | None:
+        """Tell nodes whose calls cross the end of this node to go elsewhere."""
+        if not self._gatekeeper.stopping:
+            return None
+        return _encode_reply(
+            reply_without_response(
+                Ending.REFUSED, 'the call was not read', RefusedFor.STOPPING
+            )
+        )
+
     def _updates_response(self, request: Request) -> Response:
         """Return the updates after the version or revision in the header."""
         for name, update_after in self._updates_by_header.items():
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from fescueknot.calls import Importance
+from fescueknot.httpio import connection as connection_module
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
@@ -57,15 +58,19 @@
     return Call(head=head, request=request, expires_s=expires_s)
 
 
-async def _exchange(reply, **changes):
-    gatekeeper = _FakeGatekeeper(reply)
+def _peer_server(gatekeeper):
     handler = PeerHandler(
         gatekeeper=gatekeeper,
         header_names=_HEADER_NAMES,
         on_routes_version=lambda version, host: None,
         updates_by_header={},
     )
-    server = Server(handler=handler, report_error=lambda error: None)
+    return Server(handler=handler, report_error=lambda error: None)
+
+
+async def _exchange(reply, **changes):
+    gatekeeper = _FakeGatekeeper(reply)
+    server = _peer_server(gatekeeper)
     await server.listen('127.0.0.1', 0)
     port = server.port
     node = Address(host='127.0.0.1', port=port)
@@ -155,3 +160,41 @@
             return (await handler.answer(request, '')).status
 
         assert run(scenario) == 400
+
+
+class TestCrossingCalls:
+    """Calls that are on the way when a stopping node closes a connection."""
+
+    def test_the_caller_learns_that_its_call_was_not_read(self, monkeypatch):
+        # Guards against an unknown ending, after which a call that must not
+        # run twice is not tried elsewhere.
+        async def scenario():
+            gatekeeper = _FakeGatekeeper(
+                Reply(head=AnswerHead(), response=Response(status=200))
+            )
+            gatekeeper.stopping = True
+            server = _peer_server(gatekeeper)
+            await server.listen('127.0.0.1', 0)
+            nodes = PeerNodes(
+                header_names=_HEADER_NAMES, observer=RecordingObserver()
+            )
+            node = Address(host='127.0.0.1', port=server.port)
+            await nodes.send(_call(), node)
+            crossing = asyncio.ensure_future(nodes.send(_call(), node))
+            await asyncio.sleep(0)
+            monkeypatch.setattr(connection_module, 'has_input', _sees_nothing)
+            server.stop_listening()
+            reply = await crossing
+            return reply.head, len(gatekeeper.calls)
+
+        head, sent = run(scenario)
+        assert (head.ending, head.refused_for) == (
+            Ending.REFUSED,
+            RefusedFor.STOPPING,
+        )
+        assert sent == 1
+
+
+def _sees_nothing(transport):
+    """Tell that no bytes have arrived, as they are still on the way."""
+    return False
