Let the soak see requests that end without an answer

What callers saw: nothing of it in the soak. A request that ended without an answer returned 0, and nothing counted it. Its client closed and opened connections by itself, so that not sent and sent but not answered looked alike.

Change: callers of the soak hold their own connections, note when each request was sent and how its connection ended, and use a connection until the process is gone; two callers a node wait up to 3 s between requests. Targets note how each run ended. Planned work (SIGTERM, SIGHUP, configurations) and disruptions are noted with their times, and lost_requests.py judges at the end by the users' rule LOST with its excuses, also own 502 and 504 at a stop, endings in calm (more than three) and beside configurations (three times as often). A stop is followed by SIGKILL after the grace, as on the platform, and its exit status is checked; a process that SIGHUP ends more than 0.15 s after its start is a breach. Configurations change the idle limit in turn.

Two points are stricter than the rule: a request counts as read by its node once it has lain there for 0.2 s, and the excuse of a target that works on until the last sixth of the grace holds only if the connection ended then too. Any disruption except of the store excuses, wherever it is.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable
 
 from tools.soak.crashing_requests import crashing_request
@@ -15,16 +16,22 @@
     lose_answers,
     release,
 )
-from tools.soak.world import World
+from tools.soak.world import GRACE_S, World
 
 _RESTART_S = 0.5
+_SIGNAL_TAKES_S = 0.3
+# Until then the interpreter itself may be starting.
+_INTERPRETER_START_S = 0.15
+# SIGTERM ends a node that doesn't listen yet, SIGKILL one that was paused.
+_STOPPED = (0, -signal.SIGTERM, -signal.SIGKILL)
 _SHORT_S = (0.3, 2.5)
 _COPY_AGE_S = (0.5, 6.0)
 _AWAY_S = (0.1, 1.5)
 Fault = Callable[[World, int], Awaitable[None]]
 
 
-async def _restart(world: World, node: SoakNode) -> None:
+async def restart(world: World, node: SoakNode) -> None:
+    """Wait for the end of a node's process and start it again."""
     while node.is_running:
         await asyncio.sleep(0.05)
     await asyncio.sleep(_RESTART_S)
@@ -32,51 +39,77 @@
         # Another fault has killed it too and was first.
         return
     world.excuse(node)
+    world.promises.work.started(node.name, asyncio.get_running_loop().time())
     node.start()
 
 
-async def _harm(world: World, link: Proxy) -> None:
-    link.mode = world.rng.choice(list(Mode))
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    link.mode = Mode.CLEAR
-    link.reset()
+async def _harm(world: World, link: Proxy, *, store_only: bool) -> None:
+    with world.disruption(store_only=store_only):
+        link.mode = world.rng.choice(list(Mode))
+        await asyncio.sleep(world.rng.uniform(*_SHORT_S))
+        link.mode = Mode.CLEAR
+        link.reset()
 
 
 async def kill(world: World, index: int) -> None:
     """SIGKILL a node; it starts again."""
     node = world.nodes[index]
-    node.send(signal.SIGKILL)
-    await _restart(world, node)
+    with world.disruption():
+        node.send(signal.SIGKILL)
+        await restart(world, node)
 
 
 async def kill_all(world: World, index: int) -> None:
     """SIGKILL all nodes at once; they start again."""
-    for node in world.nodes:
-        node.send(signal.SIGKILL)
-    restarts = (_restart(world, killed) for killed in world.nodes)
-    await asyncio.gather(*restarts)
+    with world.disruption():
+        for node in world.nodes:
+            node.send(signal.SIGKILL)
+        restarts = (restart(world, killed) for killed in world.nodes)
+        await asyncio.gather(*restarts)
 
 
 async def stop(world: World, index: int) -> None:
-    """SIGTERM a node; it starts again."""
+    """SIGTERM a node, SIGKILL it after the grace; it starts again."""
     node = world.nodes[index]
-    node.send(signal.SIGTERM)
-    await _restart(world, node)
+    if node.is_running and not node.is_stopping:
+        now_s = asyncio.get_running_loop().time()
+        world.promises.work.stopped(node.name, now_s)
+        status = await node.stop_within(GRACE_S)
+        if status not in _STOPPED:
+            _break(world, f'{node.name} ended with {status} at a stop')
+    await restart(world, node)
 
 
 async def pause(world: World, index: int) -> None:
     """Stop a node for a while without its knowledge."""
     node = world.nodes[index]
     world.excuse(node)
-    node.send(signal.SIGSTOP)
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    node.send(signal.SIGCONT)
+    with world.disruption():
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(world.rng.uniform(*_SHORT_S))
+        node.send(signal.SIGCONT)
     world.excuse(node)
 
 
 async def reload(world: World, index: int) -> None:
     """SIGHUP a node."""
-    world.nodes[index].send(signal.SIGHUP)
+    node = world.nodes[index]
+    now_s = asyncio.get_running_loop().time()
+    world.promises.work.reloaded(node.name, now_s)
+    node.send(signal.SIGHUP)
+    signalled_s = time.monotonic()
+    await asyncio.sleep(_SIGNAL_TAKES_S)
+    if node.exit_status != -signal.SIGHUP:
+        return
+    age_s = signalled_s - node.started_s
+    if age_s > _INTERPRETER_START_S:
+        _break(world, f'{node.name} ended by SIGHUP {age_s:.3f} s after start')
+    await restart(world, node)
+
+
+def _break(world: World, line: str) -> None:
+    now_s = asyncio.get_running_loop().time()
+    world.promises.broken.append(f'{now_s:.3f} {line}')
 
 
 async def configure(world: World, index: int) -> None:
@@ -86,40 +119,44 @@
 
 async def store_fails(world: World, index: int) -> None:
     """Let the store refuse all calls for a while."""
-    world.store.failing = world.rng.choice((429, 503))
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    world.store.failing = 0
+    with world.disruption(store_only=True):
+        world.store.failing = world.rng.choice((429, 503))
+        await asyncio.sleep(world.rng.uniform(*_SHORT_S))
+        world.store.failing = 0
 
 
 async def store_loses(world: World, index: int) -> None:
     """Let the store do writes without an answer, and drop its history."""
-    world.store.lose_writes = True
-    world.store.compact()
-    await asyncio.sleep(world.rng.uniform(*_SHORT_S))
-    world.store.lose_writes = False
+    with world.disruption(store_only=True):
+        world.store.lose_writes = True
+        world.store.compact()
+        await asyncio.sleep(world.rng.uniform(*_SHORT_S))
+        world.store.lose_writes = False
 
 
 async def store_link(world: World, index: int) -> None:
     """Harm the link of one node to the store."""
-    await _harm(world, world.nodes[index].store)
+    await _harm(world, world.nodes[index].store, store_only=True)
 
 
 async def target_link(world: World, index: int) -> None:
     """Harm the link of one node to its target."""
-    await _harm(world, world.nodes[index].target)
+    await _harm(world, world.nodes[index].target, store_only=False)
 
 
 async def reset_target_link(world: World, index: int) -> None:
     """Reset the connections of one node to its target."""
-    world.nodes[index].target.reset()
+    with world.disruption():
+        world.nodes[index].target.reset()
 
 
 async def store_drill(world: World, index: int) -> None:
     """Let the store come back from an older copy."""
-    await world.store.drill(
-        copy_age_s=world.rng.uniform(*_COPY_AGE_S),
-        away_s=world.rng.uniform(*_AWAY_S),
-    )
+    with world.disruption(store_only=True):
+        await world.store.drill(
+            copy_age_s=world.rng.uniform(*_COPY_AGE_S),
+            away_s=world.rng.uniform(*_AWAY_S),
+        )
 
 
 FAULTS: tuple[Fault, ...] = (
--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -27,6 +27,7 @@
     served: int
     answered: int
     faults: tuple[str, ...]
+    unanswered: dict[str, int]
 
 
 async def play(
@@ -43,12 +44,14 @@
         await world.learn_era_within(_ERA_KNOWN_S)
     finally:
         world.end()
+    world.promises.judge_lost()
     return Result(
         seed=seed,
         broken=tuple(world.promises.broken),
         served=world.promises.served,
         answered=world.promises.answered,
         faults=tuple(played),
+        unanswered=world.promises.lost.counts(),
     )
 
 
@@ -114,7 +117,7 @@
         print(
             f'seed {seed}: {"BROKEN" if result.broken else "kept"}, '
             f'{result.served} served of {result.answered} answered; '
-            f'{" ".join(result.faults)}',
+            f'{" ".join(result.faults)}; unanswered: {result.unanswered}',
             flush=True,
         )
         for line in result.broken[:5]:
--- a/tools/soak/node.py
+++ b/tools/soak/node.py
@@ -1,10 +1,13 @@
 """A node of the soak as a process, between proxies."""
 
+import asyncio
+import contextlib
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 
 import msgspec
@@ -15,6 +18,7 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _ROLES = ('callers', 'peers', 'ready', 'heartbeats', 'gossip')
 _METRICS_ROLE = 'metrics'
+_POLL_S = 0.05
 
 
 class SoakNode:
@@ -34,6 +38,8 @@
         self.service = service
         self.store = store
         self.target = target
+        self.is_stopping = False
+        self.started_s = float(0)
         self._settings = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
         self._ports = {
@@ -64,6 +70,8 @@
 
     def start(self) -> None:
         """Start the process."""
+        self.is_stopping = False
+        self.started_s = time.monotonic()
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', 'fescueknot.platform.main'],
@@ -83,6 +91,23 @@
         """Tell whether the process has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    async def stop_within(self, limit_s: float) -> int:
+        """SIGTERM the process, SIGKILL it later; return its exit status."""
+        self.is_stopping = True
+        process = self._process
+        process.terminate()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while process.poll() is None:
+                    await asyncio.sleep(_POLL_S)
+        process.kill()
+        return process.wait()
+
+    @property
+    def exit_status(self) -> int | None:
+        """Return how the process ended, negative for a signal."""
+        return None if self._process is None else self._process.poll()
+
     def end(self) -> None:
         """End the process for good."""
         if self.is_running:
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -7,6 +7,8 @@
 
 from tools.soak.announcements import AnnouncementChecks, Origin
 from tools.soak.crashing_requests import CrashingRequests
+from tools.soak.lost_requests import LostRequests
+from tools.soak.planned_work import PlannedWork
 
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
@@ -14,13 +16,15 @@
 class Told(msgspec.Struct, frozen=True, kw_only=True):
     """An answer as the caller saw it.
 
-    ``instance`` is the target that signed it, empty without a signature.
+    ``instance`` is the target that signed it, empty without a signature. A
+    target repeats the id of the attempt ``repeats`` times.
     """
 
     attempt: str
     idempotent: bool
     status: int
     body: bytes
+    repeats: int = 1
     instance: str = ''
     leaving: bool = False
 
@@ -28,9 +32,11 @@
 class Promises:
     """Collects what was seen; ``broken`` holds a line a breach."""
 
-    def __init__(self, *, drain_s: float) -> None:
+    def __init__(self, *, drain_s: float, grace_s: float) -> None:
         self.announcements = AnnouncementChecks(drain_s=drain_s)
         self.crashing = CrashingRequests()
+        self.work = PlannedWork(grace_s=grace_s)
+        self.lost = LostRequests(work=self.work)
         self.broken: list[str] = []
         self.served = 0
         self.answered = 0
@@ -87,13 +93,17 @@
             )
         if told.status in range(200, 300):
             self.served += 1
-            if told.body != told.attempt.encode():
+            if told.body != told.attempt.encode() * told.repeats:
                 self._break(f'{told.attempt} got the answer of another')
             if not told.instance:
                 self._break(f'{told.attempt} got an answer no target made')
         if told.status in _NOT_RUN:
             self._check_not_run(told)
 
+    def judge_lost(self) -> None:
+        """Judge the requests without an answer, once all has ended."""
+        self.broken.extend(self.lost.breaches())
+
     def _check_not_run(self, told: Told) -> None:
         if self._runs[told.attempt]:
             self._break(f'{told.attempt} was told {told.status} and has run')
--- a/tools/soak/target.py
+++ b/tools/soak/target.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import types
 from collections.abc import Callable
 
 import msgspec
@@ -15,12 +16,17 @@
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
 from fescueknot.platform.headers import PLATFORM_HEADERS as HEADERS
+from tools.soak.habits import REPEATS_HEADER, WORK_HEADER
+from tools.soak.lost_requests import RunEnding
 from tools.soak.promises import Promises
 
 _BEAT_S = 0.4
 _WORK_S = 0.02
 _SLOTS = 8
 _MS_PER_S = 1000
+_ENDINGS = types.MappingProxyType(
+    {True: RunEnding.ANSWERED, False: RunEnding.BROKE_OFF}
+)
 
 
 class SoakTarget(Handler):
@@ -128,17 +134,34 @@
         instance = self.instance
         self._promises.arrived(attempt, instance, request.body, self.node_name)
         self._note(request, attempt)
-        await asyncio.sleep(self._rng.uniform(0, 2 * _WORK_S))
+        loop = asyncio.get_running_loop()
+        run = self._promises.lost.began(attempt, loop.time())
+        ending = RunEnding.CUT
+        try:
+            response = await self._run(request, attempt, instance)
+            ending = _ENDINGS[response is not None]
+        finally:
+            run.end(ending, loop.time())
+        return response
+
+    async def _run(
+        self, request: Request, attempt: str, instance: str
+    ) -> Response | None:
+        work_s = self._rng.uniform(0, 2 * _WORK_S)
+        work_s += int(request.header(WORK_HEADER) or 0) / _MS_PER_S
+        await asyncio.sleep(work_s)
         if self._promises.crashing.is_crashing(request.body):
             self._crash_under(request.body, instance)
             return None
         if self._rng.random() < self.lose_answers:
             return None
         signed = (HEADERS.signature, instance)
+        echo = (HEADERS.attempt, attempt)
+        repeats = int(request.header(REPEATS_HEADER) or 1)
         return Response(
             status=200,
             headers=(echo, signed, *self._announcements()),
-            body=attempt.encode(),
+            body=attempt.encode() * repeats,
         )
 
     def _crash_under(self, body: bytes, instance: str) -> None:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -1,14 +1,17 @@
 """Everything around the nodes of a soak: store, targets, callers."""
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 import random
+from collections.abc import Iterator
 
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
 from tools.demonstration.hosts import free_ports
-from tools.soak.caller import HOST, SoakCaller
+from tools.soak.caller import HOST, ROUTE_TIMEOUT_MS, SoakCaller
+from tools.soak.habits import CALLERS, PLAIN, Habit
 from tools.soak.node import SoakNode
 from tools.soak.promises import Promises
 from tools.soak.proxy import Proxy
@@ -18,13 +21,16 @@
 
 SERVICES = ('desk', 'ledger')
 _TARGETS_PER_SERVICE = 2
-_CALLERS_PER_NODE = 3
 DRAIN_S = 4
-_GRACE_S = 4
+GRACE_S = 4
 _READY_S = 90
 _DOWN_S = 2.0
 # Reads that may be stale show what the store had then.
 _STALE_S = 1.0
+# Each configuration has the next of them.
+_IDLE_TIMEOUTS_MS = (10_000, 4000)
+_CLOCK_CHECK_S = 0.05
+_STANDSTILL_S = 0.05
 # Seeds that run side by side take other ports; none of them is one that the
 # system gives to outgoing connections.
 _FIRST_PORT = 8000
@@ -37,7 +43,7 @@
 
     def __init__(self, *, folder: pathlib.Path, seed: int) -> None:
         self.rng = random.Random(seed)  # noqa: S311
-        self.promises = Promises(drain_s=DRAIN_S)
+        self.promises = Promises(drain_s=DRAIN_S, grace_s=GRACE_S)
         self.store = PlatformStoreStandin()
         self.store.stale_s = _STALE_S
         self.nodes: list[SoakNode] = []
@@ -77,9 +83,10 @@
 
     def begin_load(self) -> None:
         """Let callers send requests."""
+        self._tasks.append(asyncio.ensure_future(self._watch_clock()))
         for node in self.nodes:
-            for _ in range(_CALLERS_PER_NODE):
-                caller = self.caller_of(node)
+            for habit in CALLERS:
+                caller = self.caller_of(node, habit)
                 self._tasks.append(asyncio.ensure_future(caller.run()))
 
     def excuse(self, node: SoakNode) -> None:
@@ -88,13 +95,29 @@
         now_s = asyncio.get_running_loop().time()
         self.promises.crashing.excuse(node.name, now_s)
 
-    def caller_of(self, node: SoakNode) -> SoakCaller:
+    @contextlib.contextmanager
+    def disruption(self, *, store_only: bool = False) -> Iterator[None]:
+        """Take note of unplanned trouble for as long as it lasts."""
+        loop = asyncio.get_running_loop()
+        disruption = self.promises.work.disrupt(
+            loop.time(), store_only=store_only
+        )
+        try:
+            yield
+        finally:
+            disruption.until_s = loop.time()
+
+    def caller_of(self, node: SoakNode, habit: Habit = PLAIN) -> SoakCaller:
         """Return another caller of a node."""
-        return SoakCaller(node=node, promises=self.promises, rng=self.rng)
+        return SoakCaller(
+            node=node, promises=self.promises, rng=self.rng, habit=habit
+        )
 
     def change_configuration(self) -> None:
         """Write a new version."""
         self._version += 1
+        now_s = asyncio.get_running_loop().time()
+        self.promises.work.configured(now_s)
         self.store.write('config', 'main', _configuration(self._version))
 
     async def until_all_serve(self) -> None:
@@ -133,7 +156,7 @@
         )
         await node.store.start()
         await node.target.start()
-        node.configure(DRAIN_S, _GRACE_S)
+        node.configure(DRAIN_S, GRACE_S)
         node.start()
         beats = target.announce(node.port('heartbeats'), node.target.address)
         self._tasks.append(asyncio.ensure_future(beats))
@@ -148,10 +171,19 @@
 
     async def _come_back(self, node: SoakNode, target: SoakTarget) -> None:
         target.is_down = True
-        await node.target.crash(_DOWN_S)
+        with self.disruption():
+            await node.target.crash(_DOWN_S)
         target.renew()
         target.is_down = False
 
+    async def _watch_clock(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + _CLOCK_CHECK_S
+            await asyncio.sleep(_CLOCK_CHECK_S)
+            if loop.time() > due_s + _STANDSTILL_S:
+                self.promises.work.stood_still(due_s, loop.time())
+
     def _fault(self, error: BaseException) -> None:
         self.promises.broken.append(f'the stand-in failed: {error!r}')
 
@@ -163,7 +195,9 @@
             'maxHeaderBytes': 16384,
             'maxBodyBytes': 65536,
             'headerTimeoutMs': 3000,
-            'idleTimeoutMs': 10000,
+            'idleTimeoutMs': _IDLE_TIMEOUTS_MS[
+                version % len(_IDLE_TIMEOUTS_MS)
+            ],
         },
         'listeners': [
             {
@@ -188,5 +222,9 @@
         'targetLatencyMs': 500,
         'priority': priority,
         'match': {'pathPrefix': f'/{name}/'},
-        'action': {'service': service, 'timeoutMs': 1200, 'attempts': 2},
+        'action': {
+            'service': service,
+            'timeoutMs': ROUTE_TIMEOUT_MS,
+            'attempts': 2,
+        },
     }
