--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -10,7 +10,7 @@
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.kernel_buffers import has_input
+from fescueknot.httpio.kernel_buffers import has_input, unread_bytes
 from fescueknot.httpio.messages import Response
 from fescueknot.httpio.parsing import RequestParser
 from fescueknot.httpio.pipeline import (
@@ -28,7 +28,7 @@
 # Bytes that are read and discarded from a client that keeps sending after its
 # last response. Then reading stops.
 _LINGER_BYTES = 1_048_576
-# A client that sends no bytes of its body for this long is disconnected.
+# A request without further bytes of its body for this long is refused.
 _STALLED_BODY_TIMEOUT_S = 15.0
 _REQUEST_PART_BY_IN_BODY = types.MappingProxyType(
     {False: Awaited.REQUEST_HEAD, True: Awaited.REQUEST_BODY}
@@ -82,7 +82,10 @@
         )
         self._reader = RequestReader(parser=self._parser, buffers=owner.buffers)
         self._pipeline = RequestPipeline(
-            handler=handler, peer='', on_end=self._request_ended
+            handler=handler,
+            peer='',
+            on_end=self._request_ended,
+            unanswered=owner.unanswered,
         )
         self._transport: asyncio.Transport | None = None
         self._waits = ClientWaits(
@@ -94,14 +97,17 @@
     @property
     def has_unread(self) -> bool:
         """Return whether the client has not yet taken all of a response."""
-        return self._transport.get_write_buffer_size() > 0
+        return unread_bytes(self._transport) > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
         self._transport = transport
         peer = transport.get_extra_info('peername')[0]
         self._pipeline = RequestPipeline(
-            handler=self._handler, peer=peer, on_end=self._request_ended
+            handler=self._handler,
+            peer=peer,
+            on_end=self._request_ended,
+            unanswered=self._owner.unanswered,
         )
         self._owner.connection_opened(self)
         self._restart_timer()
@@ -110,12 +116,12 @@
         """Cancel the requests in progress."""
         self._owner.connection_closed(self)
         self._waits.stop()
-        self._cancel_requests(Unanswered.CLIENT_LEFT)
+        self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
         self._reader.release()
 
     def eof_received(self) -> bool:
         """Treat a client that half-closes the connection as disconnected."""
-        self._cancel_requests(Unanswered.CLIENT_LEFT)
+        self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
         return False
 
     def data_received(self, received: bytes) -> None:
@@ -141,14 +147,18 @@
         self._restart_timer()
         self._reader.count_held(self._pipeline, self._transport)
 
-    def close_when_idle(self) -> None:
-        """Close the connection if no request is in progress or being read."""
-        if (
-            not self._pipeline
-            and not self._parser.has_begun
-            and not self._discards_input
-        ):
+    def close_when_idle(self) -> bool:
+        """Close the connection if no request is in progress or has arrived.
+
+        Returns whether it is idle, but for a request that is still unread.
+        """
+        is_between_requests = not self._pipeline and not self._parser.has_begun
+        if self._discards_input or not is_between_requests:
+            return False
+        is_unread = has_input(self._transport)
+        if not is_unread:
             self._close_gracefully()
+        return is_unread
 
     def _process_pipeline(self) -> None:
         """Send the responses that are due and start the next handlers."""
@@ -175,7 +185,7 @@
         response = pending.response()
         if response is None:
             self._owner.unanswered.add(Unanswered.NO_ANSWER)
-            self._cancel_requests(Unanswered.NO_ANSWER)
+            self._pipeline.cancel_all(Unanswered.NO_ANSWER)
             self._transport.abort()
             return False
         draining = self._owner.draining and not self._pipeline.any_started
@@ -197,7 +207,7 @@
         if not self._discards_input and has_input(self._transport):
             self._owner.unanswered.add(Unanswered.NOT_READ)
         self._discards_input = True
-        self._cancel_requests(Unanswered.BEHIND_CLOSE)
+        self._pipeline.cancel_all(Unanswered.BEHIND_CLOSE)
         self._reader.discard()
         self._reader.count_held(self._pipeline, self._transport)
         if self._transport.is_closing():
@@ -210,43 +220,48 @@
             return
         self._restart_timer()
 
-    def _cancel_requests(self, reason: Unanswered) -> None:
-        self._owner.unanswered.add(reason, self._pipeline.cancel_all())
-
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
-        if self._parser.has_begun and not self._discards_input:
+        is_reading = not self._discards_input and not self._pipeline.is_full
+        if self._parser.has_begun and is_reading:
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
-        elif self.has_unread:
+        elif self._transport.get_write_buffer_size():
             awaited = Awaited.RESPONSE_READ
-        elif self._discards_input:
-            awaited = Awaited.CLOSE
         elif self._pipeline:
             awaited = Awaited.NOTHING
+        elif self._discards_input:
+            awaited = Awaited.CLOSE
         self._waits.begin(awaited, self._transport)
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
         def abort() -> None:  # noqa: WPS430
-            self._cancel_requests(Unanswered.STALLED)
             self._transport.abort()
 
         return {
             Awaited.REQUEST_HEAD: TimeLimit(
                 limit_s=lambda: self._handler.limits().header_timeout_s,
-                action=self._refuse_late_head,
+                action=self._refuse_late_request,
             ),
             Awaited.REQUEST_BODY: TimeLimit(
-                limit_s=lambda: _STALLED_BODY_TIMEOUT_S, action=abort
+                limit_s=lambda: _STALLED_BODY_TIMEOUT_S,
+                action=self._refuse_late_request,
+            ),
+            Awaited.CLOSE: TimeLimit(
+                limit_s=lambda: _LINGER_S, action=abort, after_delivery=True
             ),
-            Awaited.CLOSE: TimeLimit(limit_s=lambda: _LINGER_S, action=abort),
             Awaited.NEXT_REQUEST: TimeLimit(
                 limit_s=lambda: self._handler.limits().idle_timeout_s,
-                action=self._close_gracefully,
+                action=self.close_when_idle,
+                after_delivery=True,
             ),
         }
 
-    def _refuse_late_head(self) -> None:
+    def _refuse_late_request(self) -> None:
+        """Refuse a request that is not complete, unless more has arrived."""
+        if has_input(self._transport):
+            self._waits.defer(self._refuse_late_request)
+            return
         self._discards_input = True
         self._pipeline.add_final_response(
             Response(status=_REQUEST_TIMEOUT_STATUS)
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -6,6 +6,7 @@
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.kernel_buffers import is_readable
 from fescueknot.httpio.pipeline import AnswerFuture
 from fescueknot.httpio.unanswered import UnansweredCounts
 
@@ -41,7 +42,11 @@
 
     @property
     def responses_unread(self) -> int:
-        """Return the number of clients that have not read all of a response."""
+        """Return the number of clients that have not read all of a response.
+
+        What the operating system has not delivered yet is lost if the process
+        ends and the client sends another request, or if the host is gone.
+        """
         return sum(connection.has_unread for connection in self._connections)
 
     @property
@@ -67,16 +72,20 @@
         """
         self.draining = True
 
-    def stop_listening(self) -> None:
+    def stop_listening(self) -> bool:
         """Stop accepting connections and close the idle connections.
 
-        The remaining connections are closed after their next response.
+        The remaining connections are closed after their next response. Returns
+        whether the kernel holds connections or requests that are still to be
+        read; then call this again, after the event loop has read them.
         """
         self.draining = True
-        if self._listener is not None:
+        has_unread = self._has_unaccepted()
+        if self._listener is not None and not has_unread:
             self._listener.close()
         for connection in tuple(self._connections):
-            connection.close_when_idle()
+            has_unread |= connection.close_when_idle()
+        return has_unread
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Record a new connection."""
@@ -96,5 +105,10 @@
         if not answer.cancelled() and answer.exception() is not None:
             self._report_error(answer.exception())
 
+    def _has_unaccepted(self) -> bool:
+        return self._listener is not None and any(
+            is_readable(sock) for sock in self._listener.sockets
+        )
+
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(handler=self._handler, owner=self)
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -47,11 +47,13 @@
         self._peer_server.drain()
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
         await self._finish_requests(deadline_s)
-        self._caller_server.stop_listening()
-        self._peer_server.stop_listening()
         end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
-        while self.in_progress() and loop.time() < end_s:
+        has_unread = self._stop_listening()
+        while has_unread or self.in_progress():
+            if loop.time() >= end_s:
+                return
             await asyncio.sleep(_POLL_INTERVAL_S)
+            has_unread = self._stop_listening()
 
     def in_progress(self) -> int:
         """Return the number of requests in progress.
@@ -64,6 +66,12 @@
             for server in servers
         )
 
+    def _stop_listening(self) -> bool:
+        """Stop listening; return whether requests are still to be read."""
+        callers_unread = self._caller_server.stop_listening()
+        peers_unread = self._peer_server.stop_listening()
+        return callers_unread or peers_unread
+
     async def _finish_requests(self, deadline_s: float) -> None:
         """Take fewer and fewer requests until idle or until the deadline."""
         end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
