--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tools.soak.faults import Fault
+from tools.soak.node_logs import fault_lines
 from tools.soak.planned_faults import FAULTS, PLANNED_FAULTS
 from tools.soak.world import World
 
@@ -48,7 +49,7 @@
     world.promises.judge_lost()
     return Result(
         seed=seed,
-        broken=tuple(world.promises.broken),
+        broken=(*world.promises.broken, *fault_lines(folder)),
         served=world.promises.served,
         answered=world.promises.answered,
         faults=tuple(played),
