--- a/tools/soak/main.py
+++ b/tools/soak/main.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
-from tools.soak.faults import FAULTS, Fault
+from tools.soak.faults import Fault
+from tools.soak.node_logs import fault_lines
+from tools.soak.planned_faults import FAULTS, PLANNED_FAULTS
 from tools.soak.world import World
 
 _CALM_S = 120
@@ -27,6 +29,7 @@
     served: int
     answered: int
     faults: tuple[str, ...]
+    unanswered: dict[str, int]
 
 
 async def play(
@@ -43,12 +46,14 @@
         await world.learn_era_within(_ERA_KNOWN_S)
     finally:
         world.end()
+    world.promises.judge_lost()
     return Result(
         seed=seed,
-        broken=tuple(world.promises.broken),
+        broken=(*world.promises.broken, *fault_lines(folder)),
         served=world.promises.served,
         answered=world.promises.answered,
         faults=tuple(played),
+        unanswered=world.promises.lost.counts(),
     )
 
 
@@ -104,9 +109,11 @@
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--faults', type=int, default=8)
     parser.add_argument('--only', default='', help='names, with commas')
+    parser.add_argument('--planned', action='store_true')
     options = parser.parse_args()
-    names = options.only.split(',') if options.only else _names(FAULTS)
-    chosen = [fault for fault in FAULTS if fault.__name__ in names]
+    faults = PLANNED_FAULTS if options.planned else FAULTS
+    names = options.only.split(',') if options.only else _names(faults)
+    chosen = [fault for fault in faults if fault.__name__ in names]
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         result = run_seed(seed, options.faults, chosen)
@@ -114,7 +121,7 @@
         print(
             f'seed {seed}: {"BROKEN" if result.broken else "kept"}, '
             f'{result.served} served of {result.answered} answered; '
-            f'{" ".join(result.faults)}',
+            f'{" ".join(result.faults)}; unanswered: {result.unanswered}',
             flush=True,
         )
         for line in result.broken[:5]:
