Close a listening socket only when nothing is being accepted

The last turns of a stop look again in each turn of the loop, where that can happen. Now the socket is closed after two looks in a row that found nothing.

Before: test_a_connection_not_yet_accepted_is_served with looks in each turn gets no answer and no end. After: the answer.

--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -34,6 +34,8 @@
         self._connections: set[ServerConnection] = set()
         self._in_progress: set[AnswerFuture] = set()
         self._listener: asyncio.Server | None = None
+        # asyncio registers an accepted connection only with its listener open.
+        self._is_accepting = False
 
     @property
     def requests_in_progress(self) -> int:
@@ -80,8 +82,10 @@
         read; then call this again, after the event loop has read them.
         """
         self.draining = True
-        has_unread = self._has_unaccepted()
-        if self._listener is not None and not has_unread:
+        is_accepting = self._is_accepting
+        self._is_accepting = self._has_unaccepted()
+        has_unread = self._is_accepting
+        if self._listener is not None and not (is_accepting or has_unread):
             self._listener.close()
         for connection in tuple(self._connections):
             has_unread |= connection.close_when_idle()
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -4,6 +4,8 @@
 import select
 import socket
 
+import pytest
+
 from fescueknot.httpio.connection import ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
@@ -16,6 +18,7 @@
 _IDLE_S = 1
 _POLL_INTERVAL_S = 0.01
 _LIMIT_S = 30
+_LOOKS = 5
 
 
 class _Handler(Handler):
@@ -101,13 +104,16 @@
 
         assert _run(scenario).endswith(b'whole')
 
-    def test_a_connection_not_yet_accepted_is_served(self):
-        # Guards against a reset of connections that the kernel has accepted.
+    @pytest.mark.parametrize('interval_s', [0, _POLL_INTERVAL_S])
+    def test_a_connection_not_yet_accepted_is_served(self, interval_s):
+        # Guards against a reset of connections that the kernel has accepted,
+        # and of one that asyncio is about to register.
         async def scenario(served):
             served.connect()
             served.send()
-            while served.server.stop_listening():
-                await asyncio.sleep(_POLL_INTERVAL_S)
+            for _ in range(_LOOKS):
+                served.server.stop_listening()
+                await asyncio.sleep(interval_s)
             return await served.received()
 
         assert _run(scenario).endswith(b'whole')
