Extend no time of a connection whose state is unknown

Cause: where the operating system does not tell the state of a connection, or takes TCP_INFO and leaves it empty, a dead server would be noticed 15 s late while a long request is under way, as only TCP_USER_TIMEOUT shows it there.

Change: the time is extended only where the state can be read.

Evidence: two new tests of tests/httpio/test_late_readers.py fail on the code before (15 instead of 1.5; empty fields taken as a live server), all pass now.

--- a/fescueknot/httpio/delivery_watch.py
+++ b/fescueknot/httpio/delivery_watch.py
@@ -46,9 +46,11 @@
         """Watch the delivery of a request until its exchange ends.
 
         ``is_written`` says whether all was handed to the transport. Requests
-        that are not long are not watched.
+        that are not long are not watched, and none where the operating system
+        does not tell whether the server is responsive.
         """
-        if size_bytes >= _MIN_LONG_BYTES:
+        sock = transport.get_extra_info('socket')
+        if size_bytes >= _MIN_LONG_BYTES and read_peer_state(sock):
             self._begin(transport, is_written)
         try:
             yield
--- a/fescueknot/httpio/tcp_state.py
+++ b/fescueknot/httpio/tcp_state.py
@@ -11,6 +11,7 @@
 _MS_PER_S = 1000
 # The start of ``struct tcp_info`` of Linux: eight bytes, then 32-bit numbers.
 _TCP_INFO = struct.Struct('8B13I')
+_STATE = 0
 _RETRANSMITS = 2
 _PROBES = 3
 _LAST_ACK_RECEIVED_MS = 20
@@ -44,9 +45,14 @@
         return None
 
 
-def decode_peer_state(info: bytes) -> PeerState:
-    """Return what a ``struct tcp_info`` says; ``struct.error`` if cut."""
+def decode_peer_state(info: bytes) -> PeerState | None:
+    """Return what a ``struct tcp_info`` says, ``None`` if it was not filled.
+
+    Raises ``struct.error`` if it is cut.
+    """
     fields = _TCP_INFO.unpack(info)
+    if not fields[_STATE]:
+        return None
     return PeerState(
         unanswered=max(fields[_RETRANSMITS], fields[_PROBES]),
         silent_s=fields[_LAST_ACK_RECEIVED_MS] / _MS_PER_S,
--- a/tests/httpio/test_late_readers.py
+++ b/tests/httpio/test_late_readers.py
@@ -24,6 +24,7 @@
 from tests.relay.simulated_loop import run_simulated
 
 _TIMEOUT_S = 1.5
+_READ_STATE = 'fescueknot.httpio.delivery_watch.read_peer_state'
 _BODY_BYTES = 32_000_000
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
@@ -159,6 +160,18 @@
 
         assert run_simulated(scenario) == _TIMEOUT_S
 
+    def test_it_is_the_usual_one_where_the_state_is_unknown(
+        self, slow, monkeypatch
+    ):
+        # Guards against a dead server that is noticed late, as nothing else
+        # than this time shows it.
+        async def scenario():
+            with _Watch(slow) as watch:
+                return watch.timeout_s
+
+        monkeypatch.setattr(_READ_STATE, lambda sock: None)
+        assert run_simulated(scenario) == _TIMEOUT_S
+
 
 class TestPeerState:
     """What the operating system knows of the other side."""
@@ -179,6 +192,11 @@
         state = PeerState(unanswered=3, silent_s=1.7)
         assert decode_peer_state(info) == state
 
+    def test_fields_that_nobody_has_filled_say_nothing(self):
+        # Guards against a dead server that is never noticed, where the
+        # system takes the call and does not fill its answer.
+        assert decode_peer_state(bytes(60)) is None
+
     def test_a_live_connection_is_responsive(self, slow):
         assert not read_peer_state(slow.served).is_unresponsive(_TIMEOUT_S)
 
