--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from fescueknot.calls import Importance
+from fescueknot.httpio import connection as connection_module
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
@@ -34,13 +37,13 @@
         return self.reply
 
 
-def _call(attempt='c1', root='c1'):
+def _call(attempt='c1', root='c1', route='r'):
     head = CallHead(
         attempt=attempt,
         instance='i-1',
         started_ms=7,
         idempotent=True,
-        route='r',
+        route=route,
         lineage=Lineage(root=root, importance=Importance.HIGH, depth=1),
         remaining_ms=0,
         max_wait_ms=9,
@@ -57,15 +60,19 @@
     return Call(head=head, request=request, expires_s=expires_s)
 
 
-async def _exchange(reply, **changes):
-    gatekeeper = _FakeGatekeeper(reply)
+def _peer_server(gatekeeper):
     handler = PeerHandler(
         gatekeeper=gatekeeper,
         header_names=_HEADER_NAMES,
         on_routes_version=lambda version, host: None,
         updates_by_header={},
     )
-    server = Server(handler=handler, report_error=lambda error: None)
+    return Server(handler=handler, report_error=lambda error: None)
+
+
+async def _exchange(reply, **changes):
+    gatekeeper = _FakeGatekeeper(reply)
+    server = _peer_server(gatekeeper)
     await server.listen('127.0.0.1', 0)
     port = server.port
     node = Address(host='127.0.0.1', port=port)
@@ -123,6 +130,24 @@
         assert received_reply.response is None
 
 
+class TestNames:
+    """Names that the operator or a target has chosen."""
+
+    # Guards against a handler that fails on every call of a route, and against
+    # connections that nobody closes then.
+    @pytest.mark.parametrize('name', ['entr\xe9e', '\u0432\u0445\u043e\u0434'])
+    def test_they_may_hold_any_letters(self, name):
+        async def scenario():
+            reply = Reply(
+                head=AnswerHead(ending=Ending.TURNED_AWAY, detail=name)
+            )
+            return await _exchange(reply, route=name)
+
+        _, received_call, received_reply = run(scenario)
+        assert received_call.head.route == name
+        assert received_reply.head.detail == name
+
+
 class TestNotSent:
     """Calls that cannot be sent or decoded."""
 
@@ -155,3 +180,41 @@
             return (await handler.answer(request, '')).status
 
         assert run(scenario) == 400
+
+
+class TestCrossingCalls:
+    """Calls that are on the way when a stopping node closes a connection."""
+
+    def test_the_caller_learns_that_its_call_was_not_read(self, monkeypatch):
+        # Guards against an unknown ending, after which a call that must not
+        # run twice is not tried elsewhere.
+        async def scenario():
+            gatekeeper = _FakeGatekeeper(
+                Reply(head=AnswerHead(), response=Response(status=200))
+            )
+            gatekeeper.stopping = True
+            server = _peer_server(gatekeeper)
+            await server.listen('127.0.0.1', 0)
+            nodes = PeerNodes(
+                header_names=_HEADER_NAMES, observer=RecordingObserver()
+            )
+            node = Address(host='127.0.0.1', port=server.port)
+            await nodes.send(_call(), node)
+            crossing = asyncio.ensure_future(nodes.send(_call(), node))
+            await asyncio.sleep(0)
+            monkeypatch.setattr(connection_module, 'has_input', _sees_nothing)
+            server.stop_listening()
+            reply = await crossing
+            return reply.head, len(gatekeeper.calls)
+
+        head, sent = run(scenario)
+        assert (head.ending, head.refused_for) == (
+            Ending.REFUSED,
+            RefusedFor.STOPPING,
+        )
+        assert sent == 1
+
+
+def _sees_nothing(transport):
+    """Tell that no bytes have arrived, as they are still on the way."""
+    return False
