--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -82,7 +82,9 @@
         self.draining = True
         has_unread = self._has_unaccepted()
         if self._listener is not None and not has_unread:
-            self._listener.close()
+            # In this turn of the loop asyncio may have accepted a connection
+            # that it would drop if the listening socket were closed now.
+            asyncio.get_running_loop().call_soon(self._close_listener)
         for connection in tuple(self._connections):
             has_unread |= connection.close_when_idle()
         return has_unread
@@ -110,5 +112,9 @@
             is_readable(sock) for sock in self._listener.sockets
         )
 
+    def _close_listener(self) -> None:
+        if not self._has_unaccepted():
+            self._listener.close()
+
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(handler=self._handler, owner=self)
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -4,6 +4,8 @@
 import select
 import socket
 
+import pytest
+
 from fescueknot.httpio.connection import ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
@@ -15,6 +17,7 @@
 _REQUEST = b'GET /x HTTP/1.1\r\nHost: x\r\n\r\n'
 _IDLE_S = 1
 _POLL_INTERVAL_S = 0.01
+_TURNS_TO_ANSWER = 8
 _LIMIT_S = 30
 
 
@@ -112,6 +115,29 @@
 
         assert _run(scenario).endswith(b'whole')
 
+    @pytest.mark.parametrize('turns', range(_TURNS_TO_ANSWER))
+    def test_a_connection_being_accepted_is_served(self, turns):
+        # Guards against a close of the listening socket between the steps in
+        # which asyncio accepts a connection: it would drop that silently.
+        async def scenario(served):
+            served.connect()
+            served.send()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            while served.server.stop_listening():
+                await asyncio.sleep(_POLL_INTERVAL_S)
+            return await served.received()
+
+        assert _run(scenario).endswith(b'whole')
+
+    def test_the_listening_socket_is_closed(self):
+        async def scenario(served):
+            served.server.stop_listening()
+            await asyncio.sleep(0)
+            return served.server._listener.sockets
+
+        assert not _run(scenario)
+
     def test_an_idle_connection_is_closed_all_the_same(self):
         async def scenario(served):
             served.connect()
