--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -34,8 +34,6 @@
         self._connections: set[ServerConnection] = set()
         self._in_progress: set[AnswerFuture] = set()
         self._listener: asyncio.Server | None = None
-        # asyncio registers an accepted connection only with its listener open.
-        self._is_accepting = False
 
     @property
     def requests_in_progress(self) -> int:
@@ -82,11 +80,11 @@
         read; then call this again, after the event loop has read them.
         """
         self.draining = True
-        is_accepting = self._is_accepting
-        self._is_accepting = self._has_unaccepted()
-        has_unread = self._is_accepting
-        if self._listener is not None and not (is_accepting or has_unread):
-            self._listener.close()
+        has_unread = self._has_unaccepted()
+        if self._listener is not None and not has_unread:
+            # In this turn of the loop asyncio may have accepted a connection
+            # that it would drop if the listening socket were closed now.
+            asyncio.get_running_loop().call_soon(self._close_listener)
         for connection in tuple(self._connections):
             has_unread |= connection.close_when_idle()
         return has_unread
@@ -114,5 +112,9 @@
             is_readable(sock) for sock in self._listener.sockets
         )
 
+    def _close_listener(self) -> None:
+        if not self._has_unaccepted():
+            self._listener.close()
+
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(handler=self._handler, owner=self)
