--- a/fescueknot/relay/gauges.py
+++ b/fescueknot/relay/gauges.py
@@ -9,6 +9,7 @@
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.graceful_stop import GracefulStop
+from fescueknot.relay.metrics import NodeMetrics
 from fescueknot.relay.suspect_requests import SuspectRequests
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.targets.directory import TargetDirectory
@@ -16,6 +17,13 @@
 _Gauges = Mapping[str, Callable[[], float]]
 
 
+def add_gauges(metrics: NodeMetrics, *groups: _Gauges) -> None:
+    """Add the gauges of all groups to the metrics of a node."""
+    for group in groups:
+        for name, read in group.items():
+            metrics.gauge(name, read)
+
+
 def gate_gauges(gatekeeper: Gatekeeper) -> _Gauges:
     """Return gauges of the gate beside the target, by name."""
     announced = gatekeeper.announced
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -19,6 +19,7 @@
 from fescueknot.relay.fleet_sync import FleetSync
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.gauges import (
+    add_gauges,
     gate_gauges,
     message_gauges,
     suspect_gauges,
@@ -255,21 +256,18 @@
             task.add_done_callback(self._task_ended)
 
     def _add_gauges(self) -> None:
-        groups = (
+        suspects = self._suspects.requests
+        add_gauges(
+            self._metrics,
             sync_gauges(self._routes, self._directory, self._fleet_sync),
             message_gauges(
                 self._graceful_stop, self._dispatcher, self._buffers
             ),
             gate_gauges(self._gatekeeper),
-            suspect_gauges(self._suspects.requests),
+            suspect_gauges(suspects),
         )
-        for group in groups:
-            for name, read in group.items():
-                self._metrics.gauge(name, read)
         self._metrics.labelled_gauge(
-            'quarantine_left_s',
-            'fingerprint',
-            self._suspects.requests.held_left_s,
+            'quarantine_left_s', 'fingerprint', suspects.held_left_s
         )
         self._metrics.labelled_gauge(
             'unanswered_requests', 'reason', self._servers.unanswered
