Play a site file as processes and check the rule LOST

Each process notes how long its own loop stood still, so that a case that only a late caller has seen is told apart.

--- /dev/null
+++ b/tests/site_rig/test_rule_lost.py
@@ -0,0 +1,216 @@
+"""The rule LOST of the rig: which records count and which do not."""
+
+import pytest
+
+from tools.site_rig.cases import Case, Excuse, Limits, Occasion
+from tools.site_rig.cut_rates import CutRates
+from tools.site_rig.records import (
+    Outcome,
+    RequestRecord,
+    RunEnd,
+    RunRecord,
+    SignalKind,
+    SignalRecord,
+)
+from tools.site_rig.rule_lost import judge
+
+LIMITS = Limits(grace_s=6, apply_s=2.5)
+# The signal of a case comes at this time.
+SIGNAL_S = 100.0
+
+
+def request(sent_s: float, lasted_s: float, **others) -> RequestRecord:
+    """Return a request whose connection ended; times are after the signal."""
+    fields = {
+        'attempt': 'a',
+        'host': 'h',
+        'began_s': SIGNAL_S + sent_s,
+        'sent_s': SIGNAL_S + sent_s,
+        'ended_s': SIGNAL_S + sent_s + lasted_s,
+        'outcome': Outcome.ENDED,
+        'time_left_s': 5.0,
+    }
+    return RequestRecord(**(fields | others))
+
+
+def run(from_s: float, until_s: float, end: RunEnd) -> RunRecord:
+    return RunRecord(
+        attempt='a',
+        target='t',
+        arrived_s=SIGNAL_S + from_s,
+        began_s=0 if end is RunEnd.REJECTED else SIGNAL_S + from_s,
+        ended_s=SIGNAL_S + until_s,
+        end=end,
+    )
+
+
+def case(
+    seen: RequestRecord, *runs: RunRecord, kind: SignalKind = SignalKind.TERM
+) -> Case:
+    host = '' if kind is SignalKind.CONFIGURATION else 'h'
+    signal = SignalRecord(host=host, kind=kind, at_s=SIGNAL_S)
+    return Case(request=seen, runs=runs, signals=(signal,))
+
+
+def own_answer(status: int, **others) -> RequestRecord:
+    return request(1, 1, outcome=Outcome.ANSWERED, status=status, **others)
+
+
+HUP = SignalKind.HUP
+CONFIGURATION = SignalKind.CONFIGURATION
+CUT = run(1.01, 2, RunEnd.CUT)
+REJECTED = run(1.01, 1.02, RunEnd.REJECTED)
+ANSWERED = run(1.01, 1.5, RunEnd.ANSWERED)
+
+LOST = {
+    'cut while its target works': case(request(1, 1), CUT),
+    'cut at once after it was passed on': case(
+        request(1, 0.02), run(1.01, 1.02, RunEnd.CUT)
+    ),
+    'cut after its target has answered': case(request(1, 1), ANSWERED),
+    'sent before the signal': case(request(-0.5, 1), run(-0.4, 1, RunEnd.CUT)),
+    'not passed on and ended late': case(request(4.8, 0.21)),
+    'rejected by its target and ended late': case(request(1, 0.3), REJECTED),
+    'ended a second after the grace period': case(request(5, 1.9)),
+    'behind another and passed on': case(request(1, 1, is_behind=True), CUT),
+    'at work until the end, sent late': case(
+        request(3.1, 2.5), run(3.2, 5.6, RunEnd.CUT)
+    ),
+    'at work and cut before the last part of the grace period': case(
+        request(1, 3.9), run(1.1, 4.9, RunEnd.CUT)
+    ),
+    '504 of the node while its target works': case(own_answer(504), CUT),
+    '502 of the node while its target works': case(
+        own_answer(502), run(1.01, 2.5, RunEnd.ANSWERED)
+    ),
+    'cut after SIGHUP': case(request(2.4, 1), CUT, kind=HUP),
+    'sent before SIGHUP, cut after it': case(request(-1, 2), CUT, kind=HUP),
+    'cut beside a configuration': case(request(2, 1), CUT, kind=CONFIGURATION),
+}
+
+EXCUSED = {
+    'ended at once, not passed on': (
+        case(request(4.75, 0.1875)),
+        Excuse.CROSSED,
+    ),
+    'behind another, not passed on': (
+        case(request(1, 1, is_behind=True)),
+        Excuse.BEHIND,
+    ),
+    'behind another, rejected': (
+        case(request(1, 1, is_behind=True), REJECTED),
+        Excuse.BEHIND,
+    ),
+    'its deadline was reached': (
+        case(request(1, 1, time_left_s=1), CUT),
+        Excuse.TIME,
+    ),
+    'its last byte may have left before': (
+        case(request(1, 0.99, began_s=SIGNAL_S + 0.9, time_left_s=1), CUT),
+        Excuse.TIME,
+    ),
+    '504 of the node at the deadline': (
+        case(own_answer(504, time_left_s=1), CUT),
+        Excuse.TIME,
+    ),
+    'its target broke off': (
+        case(request(1, 1), run(1.1, 2, RunEnd.BROKE_OFF)),
+        Excuse.TARGET,
+    ),
+    'at work in the last part of the grace period': (
+        case(request(2.9, 2.3), run(3, 5.2, RunEnd.CUT)),
+        Excuse.LATE_WORK,
+    ),
+    'answered by its target': (
+        case(own_answer(500, is_signed=True), ANSWERED),
+        Excuse.NOT_LOST,
+    ),
+    '504 of the node after its target has answered': (
+        case(own_answer(504), ANSWERED),
+        Excuse.NOT_LOST,
+    ),
+    '503 of the node, not passed on': (
+        case(own_answer(503)),
+        Excuse.NOT_LOST,
+    ),
+    'left by its caller': (
+        case(request(1, 1, outcome=Outcome.GAVE_UP), CUT),
+        Excuse.NOT_LOST,
+    ),
+    'without a connection': (
+        case(request(1, 1, outcome=Outcome.REFUSED)),
+        Excuse.NOT_LOST,
+    ),
+    '504 of the node beside a configuration': (
+        case(own_answer(504), CUT, kind=CONFIGURATION),
+        Excuse.NOT_LOST,
+    ),
+    'most of its time used beside a configuration': (
+        case(request(1, 0.7, time_left_s=1), CUT, kind=CONFIGURATION),
+        Excuse.USED_MOST,
+    ),
+    'not passed on, long after the grace period': (
+        case(request(8, 1)),
+        Excuse.CROSSED,
+    ),
+}
+
+
+class TestJudge:
+    """What the rule says of one request."""
+
+    # Guards against a check that does not see a lost request.
+    @pytest.mark.parametrize('name', LOST)
+    def test_lost(self, name):
+        assert judge(LOST[name], LIMITS).excuse is Excuse.NONE
+
+    # Guards against a check that blames what the rule excuses.
+    @pytest.mark.parametrize('name', EXCUSED)
+    def test_excused(self, name):
+        excused, excuse = EXCUSED[name]
+        assert judge(excused, LIMITS).excuse is excuse
+
+    # Guards against work that is called planned though it is long over.
+    @pytest.mark.parametrize(
+        ('seen', 'kind', 'occasion'),
+        [
+            (request(1, 6.01), SignalKind.TERM, Occasion.ANY_TIME),
+            (request(1, 6), SignalKind.TERM, Occasion.TERM),
+            (request(-2, 1), SignalKind.TERM, Occasion.ANY_TIME),
+            (request(2.6, 1), HUP, Occasion.ANY_TIME),
+            (request(2.5, 9), HUP, Occasion.HUP),
+            (request(-2, 1), HUP, Occasion.ANY_TIME),
+            (request(3, 0.5), CONFIGURATION, Occasion.CONFIGURATION),
+            (request(3, 0.6), CONFIGURATION, Occasion.ANY_TIME),
+        ],
+    )
+    def test_occasion(self, seen, kind, occasion):
+        assert judge(case(seen, kind=kind), LIMITS).occasion is occasion
+
+    # Guards against a loss at any time that is not seen: it was passed on.
+    def test_passed_on_at_any_time(self):
+        found = judge(Case(request=request(1, 0.1), runs=(CUT,)), LIMITS)
+
+        assert found.occasion is Occasion.ANY_TIME
+        assert found.counts
+
+
+class TestCutRates:
+    """Cuts beside configurations against those at other times."""
+
+    # Guards against blaming a configuration for what happens at all times.
+    @pytest.mark.parametrize(
+        ('cut_at_other_times', 'counts'), [(0, True), (3, True), (4, False)]
+    )
+    def test_three_times_as_often(self, cut_at_other_times, counts):
+        beside = case(request(2, 1), CUT, kind=CONFIGURATION)
+        finding = judge(beside, LIMITS)
+        rates = CutRates(limits=LIMITS)
+        rates.count(beside)
+        for number in range(10):
+            is_cut = number < cut_at_other_times
+            outcome = Outcome.ENDED if is_cut else Outcome.ANSWERED
+            away = request(50, 1, outcome=outcome)
+            rates.count(case(away, kind=CONFIGURATION))
+
+        assert rates.excused([finding])[0].counts is counts
--- /dev/null
+++ b/tools/site_rig/cases.py
@@ -0,0 +1,81 @@
+"""Cases of the rule LOST: what is judged and what is said of it."""
+
+import enum
+
+import msgspec
+
+from tools.site_rig.records import (
+    RequestRecord,
+    RunEnd,
+    RunRecord,
+    SignalKind,
+    SignalRecord,
+)
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of the rule."""
+
+    grace_s: float
+    apply_s: float
+    loss_slack_s: float = 0.2
+
+
+class Occasion(enum.StrEnum):
+    """What was near when a request ended."""
+
+    TERM = 'SIGTERM'
+    HUP = 'SIGHUP'
+    CONFIGURATION = 'configuration'
+    ANY_TIME = 'any time'
+
+
+class Excuse(enum.StrEnum):
+    """Why a case does not count."""
+
+    NONE = ''
+    NOT_LOST = 'it was answered or left by its caller'
+    TARGET = 'the target broke off'
+    TIME = 'deadline or time limit reached'
+    LATE_WORK = 'at work in the last part of the grace period'
+    BEHIND = 'sent behind another and not passed on'
+    CROSSED = 'it crossed a close'
+    NOT_RAISED = 'as many are cut at other times'
+    USED_MOST = 'most of its time used beside a configuration'
+
+
+class Case(msgspec.Struct, frozen=True, kw_only=True):
+    """A request, its arrivals at targets and the signals of its node."""
+
+    request: RequestRecord
+    runs: tuple[RunRecord, ...] = ()
+    signals: tuple[SignalRecord, ...] = ()
+
+    @property
+    def is_passed_on(self) -> bool:
+        """Tell whether it reached a target that did not reject it."""
+        return any(run.end is not RunEnd.REJECTED for run in self.runs)
+
+    def times(self, kind: SignalKind) -> list[float]:
+        """Return when the node got signals of a kind."""
+        return [signal.at_s for signal in self.signals if signal.kind is kind]
+
+    def is_at_work(self, at_s: float) -> bool:
+        """Tell whether a target worked on it until it was broken off."""
+        return any(
+            run.began_s and (run.end is RunEnd.CUT or run.ended_s > at_s)
+            for run in self.runs
+        )
+
+
+class Finding(msgspec.Struct, frozen=True, kw_only=True):
+    """What the rule says of a request."""
+
+    case: Case
+    occasion: Occasion
+    excuse: Excuse
+
+    @property
+    def counts(self) -> bool:
+        """Tell whether the request is lost."""
+        return self.excuse is Excuse.NONE
--- /dev/null
+++ b/tools/site_rig/main.py
@@ -0,0 +1,71 @@
+"""Plays a site file: ``python -m tools.site_rig.main SITE --day trouble-2``."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+
+from tools.site_rig.deployment import TARGET_GROUPS, DeploymentRun
+from tools.site_rig.plans import MIXED, Planner
+from tools.site_rig.report import print_report
+from tools.site_rig.scene import Scene, hosts_of
+from tools.site_rig.site import load_site
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+# Second part of the addresses, so that runs side by side do not meet.
+_FIRST_NETWORK = 64
+_NETWORKS = 128
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('site', type=pathlib.Path)
+    parser.add_argument('--day', default=MIXED, help='a day, or "mixed"')
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--length', type=float, default=32)
+    parser.add_argument('--zones', type=int, default=0, help='0 for all')
+    parser.add_argument('--rate', type=float, default=1)
+    parser.add_argument(
+        '--code',
+        type=pathlib.Path,
+        default=_ROOT,
+        help='the folder that has the program of the nodes',
+    )
+    parser.add_argument('--keep', type=pathlib.Path, help='folder of records')
+    return parser.parse_args()
+
+
+def _scene(options: argparse.Namespace, seed: int) -> Scene:
+    site = load_site(options.site)
+    network = _FIRST_NETWORK + os.getpid() % _NETWORKS
+    hosts = hosts_of(site, f'127.{network}.1', options.zones, TARGET_GROUPS)
+    planner = Planner(hosts=hosts, length_s=options.length, seed=seed)
+    prefix = f'{site.name}-{options.day}-{seed}-'
+    return Scene(
+        site=site,
+        seed=seed,
+        hosts=hosts,
+        disruptions=planner.disruptions(site, options.day),
+        folder=tempfile.mkdtemp(prefix=prefix, dir=options.keep),
+        length_s=options.length,
+        rate_ratio=options.rate,
+    )
+
+
+def main() -> int:
+    """Play seeds one after the other and print what each of them lost."""
+    options = _parse()
+    lost = 0
+    for seed in range(options.first, options.first + options.seeds):
+        scene = _scene(options, seed)
+        run = DeploymentRun(scene=scene, code=options.code.resolve())
+        asyncio.run(run.play())
+        lost += print_report(scene, scene.folder)
+    return 1 if lost else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tools/site_rig/report.py
@@ -0,0 +1,101 @@
+"""Prints the figures of a run and its cases of the rule LOST."""
+
+import collections
+import pathlib
+from collections.abc import Iterable
+
+from tools.site_rig.cases import Finding, Limits, Occasion
+from tools.site_rig.joining import RunRecords, findings_of, load_records
+from tools.site_rig.records import (
+    Outcome,
+    RequestRecord,
+    RunRecord,
+    SignalKind,
+)
+from tools.site_rig.scene import Scene
+
+_MOST_AT_ANY_TIME = 3
+_MS_PER_S = 1000
+
+
+def print_report(scene: Scene, label: str) -> int:
+    """Print a run's figures and cases; return the number of lost requests."""
+    records = load_records(pathlib.Path(scene.folder))
+    bounds = scene.site.bounds
+    limits = Limits(
+        grace_s=bounds.grace_s, apply_s=bounds.config_ms / _MS_PER_S
+    )
+    findings = findings_of(records, limits)
+    lost = [finding for finding in findings if finding.counts]
+    sure = [finding for finding in lost if _is_sure(finding, limits)]
+    print(f'{label}: {len(lost)} LOST, {len(sure)} of them whatever the lag')
+    _print_figures(records)
+    occasions = _counts(finding.occasion for finding in lost)
+    print(f'  lost at {occasions}')
+    excuses = (finding.excuse for finding in findings if not finding.counts)
+    print(f'  excused {_counts(excuses)}')
+    at_any_time = occasions.get(str(Occasion.ANY_TIME), 0)
+    if 0 < at_any_time <= _MOST_AT_ANY_TIME:
+        print(f'  at any time {at_any_time}: as many as allowed')
+    for finding in lost:
+        print(f'  {describe(finding)}', flush=True)
+    return len(lost)
+
+
+def describe(finding: Finding) -> str:
+    """Return a case as one line."""
+    request = finding.case.request
+    runs = ', '.join(
+        _describe_run(run, request.sent_s) for run in finding.case.runs
+    )
+    parts = (
+        f'{finding.occasion}: {request.attempt} at {request.host}',
+        f'{_after_term(finding)} ({request.sent_s:.3f})',
+        f'lasted {request.lasted_s:.3f} s of {request.time_left_s:.2f}',
+        f'lag {request.lag_s:.3f} {_came_back(request)}',
+        f'kept {request.is_kept} behind {request.is_behind}',
+        f'runs [{runs}]',
+    )
+    return ', '.join(parts)
+
+
+def _describe_run(run: RunRecord, sent_s: float) -> str:
+    arrived_s, ended_s = run.arrived_s - sent_s, run.ended_s - sent_s
+    return f'{run.target} {run.end} {arrived_s:+.3f}..{ended_s:+.3f}'
+
+
+def _print_figures(records: RunRecords) -> None:
+    requests = records.requests
+    print(f'  requests {_counts(found.outcome for found in requests)}')
+    print(f'  statuses {_counts(found.status for found in requests)}')
+    print(f'  signals {_counts(found.kind for found in records.signals)}')
+    lag_s = max((found.lag_s for found in requests), default=0)
+    print(f'  longest lag of a caller beside a failure {lag_s:.3f} s')
+
+
+def _counts(found: Iterable[object]) -> dict[str, int]:
+    return dict(collections.Counter(str(each) for each in found))
+
+
+def _is_sure(finding: Finding, limits: Limits) -> bool:
+    """Tell whether it also counts if its caller came late by its lag."""
+    request = finding.case.request
+    if finding.case.is_passed_on:
+        return True
+    return request.lasted_s - request.lag_s > limits.loss_slack_s
+
+
+def _after_term(finding: Finding) -> str:
+    case = finding.case
+    before = [
+        case.request.sent_s - at_s
+        for at_s in case.times(SignalKind.TERM)
+        if at_s <= case.request.ended_s
+    ]
+    return f'sent {before[-1]:+.3f} s after SIGTERM' if before else 'unstopped'
+
+
+def _came_back(request: RequestRecord) -> str:
+    if request.outcome is Outcome.ANSWERED:
+        return str(request.status)
+    return 'reset' if request.is_reset else 'closed'
--- /dev/null
+++ b/tools/site_rig/site.py
@@ -0,0 +1,171 @@
+"""The part of a site file that the rig plays."""
+
+import math
+import pathlib
+import random
+import tomllib
+from typing import Any
+
+import msgspec
+
+
+class Distribution(msgspec.Struct, frozen=True, kw_only=True):
+    """Log-normal values with a tail and an upper bound."""
+
+    mean: float
+    spread: float = 0
+    tail: float = 0
+    tail_x: float = 1
+    max: float = 0
+
+    def draw(self, rng: random.Random) -> float:
+        """Return one value."""
+        drawn = self.mean * math.exp(
+            rng.gauss(0, self.spread) - self.spread**2 / 2
+        )
+        if rng.random() < self.tail:
+            drawn *= self.tail_x
+        return min(drawn, self.max)
+
+
+class CallRule(
+    msgspec.Struct, frozen=True, kw_only=True, rename={'name': 'class'}
+):
+    """Calls that a run makes."""
+
+    name: str
+    times: int = 1
+    share: float = 1
+    together: bool = False
+
+
+class RequestClass(msgspec.Struct, frozen=True, kw_only=True):
+    """A kind of request."""
+
+    name: str
+    service: str
+    kind: str
+    work_ms: Distribution
+    deadline_ms: float
+    aim_ms: float
+    also: tuple[str, ...] = ()
+    method: str = 'GET'
+    habit: str = 'pool'
+    priority: int = 0
+    retries: int = 0
+    inner: bool = False
+    error_share: float = 0
+    timeout_ms: float = 0
+    req_bytes: Distribution = Distribution(mean=0)
+    resp_bytes: Distribution = Distribution(mean=2000, max=2000)
+    calls: tuple[CallRule, ...] = ()
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether it may run more than once."""
+        return self.kind == 'safe'
+
+    @property
+    def limit_ms(self) -> float:
+        """Return the time limit of its route."""
+        return self.timeout_ms or self.deadline_ms
+
+
+class ServiceRule(msgspec.Struct, frozen=True, kw_only=True):
+    """The targets of a service."""
+
+    name: str
+    slots: int
+    queue: int
+    conn_cap: int
+    speeds: tuple[float, ...]
+
+
+class Machines(msgspec.Struct, frozen=True, kw_only=True):
+    """Machines of one failure domain and service."""
+
+    zone: str
+    count: int
+    app: str
+    memory_mb: float
+
+
+class Zone(msgspec.Struct, frozen=True, kw_only=True):
+    """A failure domain."""
+
+    name: str
+    region: str
+
+
+class Shape(msgspec.Struct, frozen=True, kw_only=True):
+    """How a rate swings."""
+
+    swing: float = 0
+    period_s: float = 1
+    phase: float = 0
+
+
+class Traffic(msgspec.Struct, frozen=True, kw_only=True):
+    """Requests of the clients of one failure domain."""
+
+    zone: str
+    mix: dict[str, float]
+    per_s: float
+    clients: int
+    shape: Shape = Shape()
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of the rules."""
+
+    drain_ms: float
+    config_ms: float
+    grace_s: float
+    budget_slack: float
+
+
+class PlanEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """A planned change of a day."""
+
+    at: float
+    kind: str
+    how: str = ''
+    share: float = 1
+    gap_s: float = 1
+    for_s: float = 0
+
+
+class Day(msgspec.Struct, frozen=True, kw_only=True):
+    """A day: its plan and its traffic."""
+
+    name: str
+    plan: tuple[PlanEntry, ...] = ()
+    traffic: tuple[Traffic, ...] = ()
+
+
+class Site(msgspec.Struct, frozen=True, kw_only=True):
+    """A site file."""
+
+    name: str
+    length_s: float
+    zones: tuple[Zone, ...]
+    machines: tuple[Machines, ...]
+    services: tuple[ServiceRule, ...]
+    classes: tuple[RequestClass, ...]
+    traffic: tuple[Traffic, ...]
+    bounds: Bounds
+    day: tuple[Day, ...]
+
+    def class_named(self, name: str) -> RequestClass:
+        """Return a kind of request."""
+        return next(found for found in self.classes if found.name == name)
+
+    def service_named(self, name: str) -> ServiceRule:
+        """Return a service."""
+        return next(found for found in self.services if found.name == name)
+
+
+def load_site(path: pathlib.Path) -> Site:
+    """Read a site file; what the rig doesn't play is left out."""
+    content: dict[str, Any] = tomllib.loads(path.read_text('utf-8'))
+    return msgspec.convert(content, Site, strict=False)
