--- a/tools/site_rig/deployment.py
+++ b/tools/site_rig/deployment.py
@@ -21,7 +21,7 @@
 TARGET_GROUPS = 2
 _CALM_S = 2.0
 _LAST_ANSWERS_S = 9.0
-_END_S = 5.0
+_END_S = 20.0
 
 
 class DeploymentRun:
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -4,8 +4,9 @@
 import pathlib
 from collections.abc import Iterable
 
-from tools.site_rig.cases import Finding, Limits, Occasion
+from tools.site_rig.cases import Case, Finding, Limits, Occasion
 from tools.site_rig.joining import RunRecords, findings_of, load_records
+from tools.site_rig.node_log import lines_of
 from tools.site_rig.records import (
     Outcome,
     RequestRecord,
@@ -20,15 +21,13 @@
 
 def print_report(scene: Scene, label: str) -> int:
     """Print a run's figures and cases; return the number of lost requests."""
-    records = load_records(pathlib.Path(scene.folder))
-    bounds = scene.site.bounds
-    limits = Limits(
-        grace_s=bounds.grace_s, apply_s=bounds.config_ms / _MS_PER_S
-    )
+    folder = pathlib.Path(scene.folder)
+    records = load_records(folder)
+    limits = _limits_of(scene)
     findings = findings_of(records, limits)
     lost = [finding for finding in findings if finding.counts]
-    sure = [finding for finding in lost if _is_sure(finding, limits)]
-    print(f'{label}: {len(lost)} LOST, {len(sure)} of them whatever the lag')
+    sure = sum(_is_sure(finding, limits) for finding in lost)
+    print(f'{label}: {len(lost)} LOST, {sure} of them whatever the lag')
     _print_figures(records)
     occasions = _counts(finding.occasion for finding in lost)
     print(f'  lost at {occasions}')
@@ -38,7 +37,8 @@
     if 0 < at_any_time <= _MOST_AT_ANY_TIME:
         print(f'  at any time {at_any_time}: as many as allowed')
     for finding in lost:
-        print(f'  {describe(finding)}', flush=True)
+        print(f'  {describe(finding)}')
+        _print_lines(finding.case, folder)
     return len(lost)
 
 
@@ -64,6 +64,16 @@
     return f'{run.target} {run.end} {arrived_s:+.3f}..{ended_s:+.3f}'
 
 
+def _print_lines(case: Case, folder: pathlib.Path) -> None:
+    for line in lines_of(case, folder):
+        print(f'    {line}', flush=True)
+
+
+def _limits_of(scene: Scene) -> Limits:
+    bounds = scene.site.bounds
+    return Limits(grace_s=bounds.grace_s, apply_s=bounds.config_ms / _MS_PER_S)
+
+
 def _print_figures(records: RunRecords) -> None:
     requests = records.requests
     print(f'  requests {_counts(found.outcome for found in requests)}')
