--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -1,19 +1,23 @@
 """One connection of an HTTP client."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import msgspec
 
 from fescueknot.httpio.buffer_budget import BufferBudget
+from fescueknot.httpio.delivery_watch import DeliveryWatch
 from fescueknot.httpio.encoding import (
     PIECE_BYTES,
     encode_request_head,
     joined,
 )
 from fescueknot.httpio.errors import AnswerLostError
+from fescueknot.httpio.kernel_buffers import has_input
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
+from fescueknot.httpio.numbers import parse_count
 from fescueknot.httpio.paced_writer import PacedWriter
 from fescueknot.httpio.parsing import (
     MAX_RESPONSE_BODY_BYTES,
@@ -62,16 +66,26 @@
         self._share = buffers.share()
         self._transport: asyncio.Transport | None = None
         self._writer = PacedWriter()
+        self._watch = DeliveryWatch(
+            timeout_s=settings.unacknowledged_timeout_s,
+            on_unresponsive=functools.partial(
+                self._fail, 'the server acknowledges nothing'
+            ),
+        )
         self._response_future: asyncio.Future[Response] | None = None
         self._accepts: Callable[[Response], bool] | None = None
 
     @property
     def is_open(self) -> bool:
-        """Return whether another request may be sent."""
+        """Return whether another request may be sent.
+
+        Unread input is the server's close or bytes that answer no request.
+        """
         return (
             self.reusable
             and self._transport is not None
             and not self._transport.is_closing()
+            and not has_input(self._transport)
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -130,14 +144,15 @@
         self._parser.to_head_request = request.method == 'HEAD'
         pieces = joined(encode_request_head(request), request.body)
         self._transport.write(next(pieces))
-        if len(request.body) <= PIECE_BYTES:
-            return await self._response()
-        self._writer.is_done = False
-        sending = loop.create_task(self._writer.write(self._transport, pieces))
-        try:
-            return await self._response()
-        finally:
-            sending.cancel()
+        self._writer.is_done = len(request.body) <= PIECE_BYTES
+        delivery = self._watch.delivery(
+            self._transport, len(request.body), lambda: self._writer.is_done
+        )
+        with delivery:
+            if self._writer.is_done:
+                return await self._response()
+            with self._writer.writing(self._transport, pieces):
+                return await self._response()
 
     def close(self) -> None:
         """Abort the connection, without sending buffered bytes."""
@@ -201,5 +216,6 @@
             self.reusable = False
         for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
             name, _, seconds = part.strip().partition('=')
-            if name == 'timeout' and seconds.isdigit():
-                self.server_idle_timeout_s = float(seconds)
+            timeout_s = parse_count(seconds)
+            if name == 'timeout' and timeout_s is not None:
+                self.server_idle_timeout_s = float(timeout_s)
--- a/fescueknot/platform/main.py
+++ b/fescueknot/platform/main.py
@@ -1,6 +1,9 @@
 """Main module of a node on the users' platform."""
 
-from fescueknot.relay import no_tls  # noqa: F401  isort: skip
+from fescueknot.relay import early_signals, no_tls  # noqa: F401  isort: skip
+
+if __name__ == '__main__':
+    early_signals.hold()
 
 import asyncio
 import os
@@ -15,6 +18,7 @@
 from fescueknot.relay.settings import SettingsFile
 from fescueknot.routes.messages import Configuration
 from fescueknot.targets.messages import Heartbeat
+from fescueknot.telemetry.standard_error import never_block
 
 _SETTINGS_VARIABLE = 'FESCUEKNOT_CONFIG'
 
@@ -43,6 +47,7 @@
 
 async def serve() -> None:
     """Run a node until it is stopped by a signal."""
+    never_block()
     source = SettingsFile(path=os.environ[_SETTINGS_VARIABLE])
     await NodeProcess(source=source, adapter=PlatformAdapter()).run()
     # Requests that are still in progress have exceeded the grace period, so
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -20,6 +20,12 @@
 # Requests taken late are answered this long before connections are cut.
 _ANSWER_MARGIN_S = 0.1
 _POLL_INTERVAL_S = 0.05
+# Turns of the event loop in which a connection is accepted and its request read
+# and answered. Without any work for as many, nothing has arrived.
+_QUIET_TURNS = 8
+_MAX_LAST_TURNS = 32
+# A connection that was just accepted is known to its server at the next look.
+_QUIET_LOOKS = 2
 
 
 class GracefulStop:
@@ -45,13 +51,27 @@
         self._gatekeeper.stopping = True
         self._caller_server.drain()
         self._peer_server.drain()
+        end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
         await asyncio.sleep(_CALLERS_LEAVE_WAIT_S)
-        await self._finish_requests(deadline_s)
-        self._caller_server.stop_listening()
-        self._peer_server.stop_listening()
-        end_s = loop.time() + _FINAL_ANSWERS_TIMEOUT_S
-        while self.in_progress() and loop.time() < end_s:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+        self._caller_handler.limit_intake(
+            Intake.REPEATABLE_CALLS, answer_by_s=end_s - _ANSWER_MARGIN_S
+        )
+        await self._wait_until_idle(deadline_s - _MIN_TIME_OF_CALL_S)
+        self._caller_handler.limit_intake(Intake.NOTHING)
+        await self._finish_requests(end_s)
+
+    async def settle(self) -> None:
+        """Answer what has been read or has arrived; then the process may end.
+
+        Takes a bounded number of turns of the event loop and waits for nothing.
+        """
+        turns = 0
+        quiet_turns = 0
+        while turns < _MAX_LAST_TURNS and quiet_turns < _QUIET_TURNS:
+            await asyncio.sleep(0)
+            has_work = self._stop_listening() or self.in_progress()
+            quiet_turns = 0 if has_work else quiet_turns + 1
+            turns += 1
 
     def in_progress(self) -> int:
         """Return the number of requests in progress.
@@ -64,15 +84,25 @@
             for server in servers
         )
 
-    async def _finish_requests(self, deadline_s: float) -> None:
-        """Take fewer and fewer requests until idle or until the deadline."""
-        end_s = deadline_s + _FINAL_ANSWERS_TIMEOUT_S
-        self._caller_handler.limit_intake(
-            Intake.REPEATABLE_CALLS, answer_by_s=end_s - _ANSWER_MARGIN_S
-        )
-        await self._wait_until_idle(deadline_s - _MIN_TIME_OF_CALL_S)
-        self._caller_handler.limit_intake(Intake.NOTHING)
-        await self._wait_until_idle(deadline_s)
+    def _stop_listening(self) -> bool:
+        """Stop listening; return whether requests are still to be read."""
+        callers_unread = self._caller_server.stop_listening()
+        peers_unread = self._peer_server.stop_listening()
+        return callers_unread or peers_unread
+
+    async def _finish_requests(self, end_s: float) -> None:
+        """Stop listening, and answer what was read or accepted before.
+
+        This begins well before the end: a process that waits for a processor
+        would not read connections that its kernel accepts at the last moment.
+        """
+        loop = asyncio.get_running_loop()
+        quiet_looks = 0
+        while quiet_looks < _QUIET_LOOKS and loop.time() < end_s:
+            has_unread = self._stop_listening()
+            is_quiet = not has_unread and not self.in_progress()
+            quiet_looks = quiet_looks + 1 if is_quiet else 0
+            await asyncio.sleep(_POLL_INTERVAL_S)
 
     async def _wait_until_idle(self, deadline_s: float) -> None:
         loop = asyncio.get_running_loop()
