--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -19,6 +19,7 @@
 _POLL_INTERVAL_S = 0.01
 _TURNS_TO_ANSWER = 8
 _LIMIT_S = 30
+_LOOKS = 5
 
 
 class _Handler(Handler):
@@ -104,13 +105,16 @@
 
         assert _run(scenario).endswith(b'whole')
 
-    def test_a_connection_not_yet_accepted_is_served(self):
-        # Guards against a reset of connections that the kernel has accepted.
+    @pytest.mark.parametrize('interval_s', [0, _POLL_INTERVAL_S])
+    def test_a_connection_not_yet_accepted_is_served(self, interval_s):
+        # Guards against a reset of connections that the kernel has accepted,
+        # and of one that asyncio is about to register.
         async def scenario(served):
             served.connect()
             served.send()
-            while served.server.stop_listening():
-                await asyncio.sleep(_POLL_INTERVAL_S)
+            for _ in range(_LOOKS):
+                served.server.stop_listening()
+                await asyncio.sleep(interval_s)
             return await served.received()
 
         assert _run(scenario).endswith(b'whole')
