Give a fake socket of a test its descriptor

It answers like a closed socket now; the assertions are unchanged and still fail without the close that they guard.

--- a/tests/httpio/test_client_cancelled.py
+++ b/tests/httpio/test_client_cancelled.py
@@ -20,6 +20,10 @@
     def setsockopt(self, *option):
         """Accept every option."""
 
+    def fileno(self):
+        """Have nothing to read, as a closed socket."""
+        return -1
+
 
 class _Transport(FakeTransport):
     def get_extra_info(self, name, default=None):
