Handle a process's signals in one module; flush the last log lines; one name each

Server and stop call what waits in the kernel input, the connection's unread is what its client has not read.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -33,7 +33,7 @@
 
     A connection that was idle for ``max_idle_s`` is not used again.
     ``unacknowledged_timeout_s`` is how long sent bytes and keep-alive probes
-    may stay unacknowledged before the operating system closes the connection.
+    may stay unacknowledged before the kernel closes the connection.
     ``head_bytes`` and ``body_bytes`` are the largest accepted sizes of a
     response's head and body.
     """
--- a/fescueknot/httpio/client_waits.py
+++ b/fescueknot/httpio/client_waits.py
@@ -29,7 +29,7 @@
     """A time, which may change during a wait, and what is done at its end.
 
     With ``after_delivery`` the action waits for a client that still reads what
-    the operating system holds: if it sends meanwhile, closing would cost it the
+    the kernel holds: if it sends meanwhile, closing would cost it the
     rest.
     """
 
--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -153,7 +153,7 @@
     def close_when_idle(self) -> bool:
         """Close the connection if no request is in progress or has arrived.
 
-        Returns whether it is idle, but for a request that is still unread.
+        Returns whether it is idle, but for input that is still to be read.
         """
         is_between_requests = not self._pipeline and not self._parser.has_begun
         if self._discards_input or not is_between_requests:
--- a/fescueknot/httpio/delivery_watch.py
+++ b/fescueknot/httpio/delivery_watch.py
@@ -46,7 +46,7 @@
         """Watch the delivery of a request until its exchange ends.
 
         ``is_written`` says whether all was handed to the transport. Requests
-        that are not long are not watched, and none where the operating system
+        that are not long are not watched, and none where the kernel
         does not tell whether the server is responsive.
         """
         sock = transport.get_extra_info('socket')
--- a/fescueknot/httpio/kernel_buffers.py
+++ b/fescueknot/httpio/kernel_buffers.py
@@ -1,4 +1,4 @@
-"""What the operating system holds of connections, in both directions."""
+"""What the kernel holds of connections, in both directions."""
 
 import asyncio
 import fcntl
@@ -39,7 +39,7 @@
     """Return how many sent bytes the other side has not acknowledged.
 
     They are lost if the connection is reset. 0 without a socket, or if the
-    operating system does not tell.
+    kernel does not tell.
     """
     sock = transport.get_extra_info('socket')
     if sock is None or sock.fileno() < 0:
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -44,7 +44,7 @@
     def responses_unread(self) -> int:
         """Return the number of clients that have not read all of a response.
 
-        What the operating system has not delivered yet is lost if the process
+        What the kernel has not delivered yet is lost if the process
         ends and the client sends another request, or if the host is gone.
         """
         return sum(connection.has_unread for connection in self._connections)
@@ -76,18 +76,18 @@
         """Stop accepting connections and close the idle connections.
 
         The remaining connections are closed after their next response. Returns
-        whether the kernel holds connections or requests that are still to be
-        read; then call this again, after the event loop has read them.
+        whether the kernel holds input, connections or requests; then call this
+        again, after the event loop has read that.
         """
         self.draining = True
-        has_unread = self._has_unaccepted()
-        if self._listener is not None and not has_unread:
+        has_input = self._has_unaccepted()
+        if self._listener is not None and not has_input:
             # In this turn of the loop asyncio may have accepted a connection
             # that it would drop if the listening socket were closed now.
             asyncio.get_running_loop().call_soon(self._close_listener)
         for connection in tuple(self._connections):
-            has_unread |= connection.close_when_idle()
-        return has_unread
+            has_input |= connection.close_when_idle()
+        return has_input
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Record a new connection."""
--- a/fescueknot/httpio/tcp_options.py
+++ b/fescueknot/httpio/tcp_options.py
@@ -8,7 +8,7 @@
 def set_tcp_timeouts(
     sock: socket.socket, unacknowledged_timeout_s: float
 ) -> None:
-    """Let the operating system close a connection to an unresponsive peer.
+    """Let the kernel close a connection to an unresponsive peer.
 
     Idle connections are probed with TCP keep-alive. Sent bytes and probes may
     stay unacknowledged for ``unacknowledged_timeout_s``.
--- a/fescueknot/httpio/tcp_state.py
+++ b/fescueknot/httpio/tcp_state.py
@@ -1,4 +1,4 @@
-"""What the operating system knows of the other side of a connection."""
+"""What the kernel knows of the other side of a connection."""
 
 import functools
 import logging
--- a/fescueknot/platform/main.py
+++ b/fescueknot/platform/main.py
@@ -1,9 +1,9 @@
 """Main module of a node on the users' platform."""
 
-from fescueknot.relay import early_signals, no_tls  # noqa: F401  isort: skip
+from fescueknot.relay import no_tls, process_signals  # noqa: F401  isort: skip
 
 if __name__ == '__main__':
-    early_signals.hold()
+    process_signals.hold()
 
 import asyncio
 import os
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -85,10 +85,10 @@
         )
 
     def _stop_listening(self) -> bool:
-        """Stop listening; return whether requests are still to be read."""
-        callers_unread = self._caller_server.stop_listening()
-        peers_unread = self._peer_server.stop_listening()
-        return callers_unread or peers_unread
+        """Stop listening; return whether there is input to be read."""
+        has_callers = self._caller_server.stop_listening()
+        has_peers = self._peer_server.stop_listening()
+        return has_callers or has_peers
 
     async def _finish_requests(self, end_s: float) -> None:
         """Stop listening, and answer what was read or accepted before.
@@ -99,8 +99,8 @@
         loop = asyncio.get_running_loop()
         quiet_looks = 0
         while quiet_looks < _QUIET_LOOKS and loop.time() < end_s:
-            has_unread = self._stop_listening()
-            is_quiet = not has_unread and not self.in_progress()
+            has_input = self._stop_listening()
+            is_quiet = not has_input and not self.in_progress()
             quiet_looks = quiet_looks + 1 if is_quiet else 0
             await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/fescueknot/relay/process.py
+++ b/fescueknot/relay/process.py
@@ -3,12 +3,11 @@
 import asyncio
 import functools
 import os
-import signal
 import sys
 
 from fescueknot.identity import Address
 from fescueknot.randomness import unseeded
-from fescueknot.relay import early_signals
+from fescueknot.relay import process_signals
 from fescueknot.relay.adapter import Adapter
 from fescueknot.relay.attempt_sender import AttemptSender
 from fescueknot.relay.caller_handler import CallerHandler
@@ -217,13 +216,13 @@
         """Serve until a signal, then stop within the grace period."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._faults.report_unhandled)
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
+        process_signals.install(
+            loop, stop=self._stop_requested.set, reload=self._reloader.reload
+        )
         self._start_tasks()
         await self._servers.listen(self._settings)
         self._observer.note('node.started', pid=os.getpid())
-        if early_signals.was_held():
+        if process_signals.was_held():
             self._reloader.reload()
         await self._stop_requested.wait()
         self._observer.note(
@@ -239,6 +238,7 @@
         )
         await self._housekeeping.finish()
         await self._graceful_stop.settle()
+        self._log.flush()
 
     def _start_tasks(self) -> None:
         """Start the tasks that run until the process ends."""
--- a/tests/httpio/slow_client.py
+++ b/tests/httpio/slow_client.py
@@ -8,7 +8,7 @@
 
 _RECEIVE_BUFFER_BYTES = 4096
 _PIECE_BYTES = 65_536
-# More than the operating system takes.
+# More than the kernel takes.
 _SENT_BYTES = 64_000_000
 
 
@@ -43,7 +43,7 @@
         self.transport = KernelTransport(self.served)
 
     def fill(self):
-        """Send until the operating system takes no more."""
+        """Send until the kernel takes no more."""
         with contextlib.suppress(BlockingIOError):
             self.served.sendall(bytes(_SENT_BYTES))
 
--- a/tests/httpio/test_late_readers.py
+++ b/tests/httpio/test_late_readers.py
@@ -115,7 +115,7 @@
 
     @property
     def timeout_s(self):
-        """Return the time that the operating system has."""
+        """Return the time that the kernel has."""
         return _user_timeout_s(self._slow.served)
 
     def _count(self):
@@ -123,7 +123,7 @@
 
 
 class TestDeliveryWatch:
-    """The time that the operating system allows."""
+    """The time that the kernel allows."""
 
     def test_it_is_longer_while_bytes_wait_for_the_receiver(self, slow):
         async def scenario():
@@ -174,7 +174,7 @@
 
 
 class TestPeerState:
-    """What the operating system knows of the other side."""
+    """What the kernel knows of the other side."""
 
     @pytest.mark.parametrize(
         ('unanswered', 'silent_s', 'expected'),
--- a/tests/httpio/test_undelivered_responses.py
+++ b/tests/httpio/test_undelivered_responses.py
@@ -1,4 +1,4 @@
-"""Responses that the operating system holds and the client has not read."""
+"""Responses that the kernel holds and the client has not read."""
 
 import asyncio
 import contextlib
@@ -35,7 +35,7 @@
 
 
 async def _answered(client, owner):
-    """Return a connection whose answer lies in the operating system."""
+    """Return a connection whose answer lies in the kernel."""
     connection = ServerConnection(handler=_Handler(), owner=owner)
     connection.connection_made(client.transport)
     connection.data_received(b'GET / HTTP/1.1\r\n\r\n')
@@ -52,7 +52,7 @@
 
 
 class TestUndeliveredBytes:
-    """What the operating system says of a connection."""
+    """What the kernel says of a connection."""
 
     def test_bytes_count_until_the_client_has_read_them(self, client):
         client.fill()
@@ -78,7 +78,7 @@
 
     def test_the_linger_waits_for_delivery(self, client):
         # Guards against an abort one second after the closing response was
-        # handed over to the operating system.
+        # handed over to the kernel.
         async def scenario():
             await _answered(client, _draining())
             await asyncio.sleep(_STALLED_S - 1)
