End listening at once, and serve what the kernel has accepted

The end of listening waited for a look at which no connection waited. Beside clients that keep connecting and a process that waits for a processor there is none: the socket stayed open until the kill, and new connections were accepted and reset 6.0 to 6.3 s after SIGTERM.

Now the event loop accepts no more; a turn later, when it has registered what it had accepted, the connections that wait are accepted by hand and served like the others, and the socket is closed. That takes the place of the look at the listening socket, and without descriptors a stop lasts no longer than else.

--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -1,17 +1,14 @@
 """HTTP server: a listening socket and its connections."""
 
-import asyncio
 from collections.abc import Callable
 
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
 from fescueknot.httpio.handler import Handler
-from fescueknot.httpio.kernel_buffers import is_readable
+from fescueknot.httpio.listener import Listener
 from fescueknot.httpio.pipeline import AnswerFuture
 from fescueknot.httpio.unanswered import UnansweredCounts
 
-_BACKLOG = 1024
-
 
 class Server(ConnectionOwner):
     """Serves one address.
@@ -33,7 +30,9 @@
         self._report_error = report_error
         self._connections: set[ServerConnection] = set()
         self._in_progress: set[AnswerFuture] = set()
-        self._listener: asyncio.Server | None = None
+        self._listener = Listener(
+            new_connection=self._new_connection, report_error=report_error
+        )
 
     @property
     def requests_in_progress(self) -> int:
@@ -61,9 +60,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._new_connection, host, port, backlog=_BACKLOG
-        )
+        await self._listener.start(host, port)
 
     def drain(self) -> None:
         """Close each connection after its next response.
@@ -75,16 +72,13 @@
     def stop_listening(self) -> bool:
         """Stop accepting connections and close the idle connections.
 
-        The remaining connections are closed after their next response. Returns
-        whether the kernel holds input, connections or requests; then call this
-        again, after the event loop has read that.
+        The remaining connections are closed after their next response, those
+        that the kernel has accepted before too. Returns whether there is input
+        to be read; then call this again, after the event loop has read it.
         """
         self.draining = True
-        has_input = self._has_unaccepted()
-        if self._listener is not None and not has_input:
-            # In this turn of the loop asyncio may have accepted a connection
-            # that it would drop if the listening socket were closed now.
-            asyncio.get_running_loop().call_soon(self._close_listener)
+        self._listener.end()
+        has_input = self._listener.is_adopting
         for connection in tuple(self._connections):
             has_input |= connection.close_when_idle()
         return has_input
@@ -107,14 +101,5 @@
         if not answer.cancelled() and answer.exception() is not None:
             self._report_error(answer.exception())
 
-    def _has_unaccepted(self) -> bool:
-        return self._listener is not None and any(
-            is_readable(sock) for sock in self._listener.sockets
-        )
-
-    def _close_listener(self) -> None:
-        if not self._has_unaccepted():
-            self._listener.close()
-
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(handler=self._handler, owner=self)
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -45,13 +45,14 @@
 
     async def start(self):
         await self.server.listen('127.0.0.1', 0)
+        self._address = ('127.0.0.1', self.server.port)
         self.handler.current_limits = Limits(idle_timeout_s=_LIMIT_S)
 
     def connect(self):
         """Connect; the server has not accepted yet."""
-        address = ('127.0.0.1', self.server.port)
-        self.client = socket.create_connection(address)
-        _wait_for_input(self.server._listener.sockets[0])
+        self.client = socket.create_connection(self._address)
+        for listening in self.server._listener.sockets:
+            _wait_for_input(listening)
 
     async def accepted(self):
         while not self.server.open_connections:
@@ -142,6 +143,30 @@
 
         assert not _run(scenario)
 
+    def test_listening_ends_though_connections_keep_coming(self):
+        # Guards against a listening socket that stays open until the kill, as
+        # each look finds another connection to accept.
+        async def scenario(served):
+            clients = []
+            for _ in range(_LOOKS):
+                try:
+                    served.connect()
+                except ConnectionRefusedError:
+                    break
+                served.send()
+                clients.append(served.client)
+                served.server.stop_listening()
+                await asyncio.sleep(0)
+            received = []
+            for client in clients:
+                served.client = client
+                received.append(await served.received())
+            return received
+
+        received = _run(scenario)
+        assert 0 < len(received) < _LOOKS
+        assert all(answer.endswith(b'whole') for answer in received)
+
     def test_an_idle_connection_is_closed_all_the_same(self):
         async def scenario(served):
             served.connect()
