Close the connections of the soak's proxies before its loop ends

A soak by hand wrote one traceback a connection at its end.

Cause: the proxies left connections half-closed. Their writers were collected once the loop had closed, and raised in __del__. Where that happens inside ast.parse, the traceback that is written for it parses again, and the parser of CPython 3.11.6 takes the nested call for a broken state.

Change: a proxy closes both sides when a connection has ended, and all of them at the end of the soak.

--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -56,6 +56,15 @@
             for writer in pair:
                 writer.transport.abort()
 
+    def close(self) -> None:
+        """Stop listening and reset all connections.
+
+        Writers that are left open raise errors when they are collected, later
+        and wherever that happens.
+        """
+        self._server.close()
+        self.reset()
+
     async def _listen(self, port: int) -> None:
         self._server = await asyncio.start_server(
             self._carry, '127.0.0.1', port
@@ -86,6 +95,8 @@
             writer.transport.abort()
         finally:
             self._pairs.discard(pair)
+            for end in pair:
+                end.close()
 
     async def _pump(
         self,
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -136,6 +136,8 @@
             task.cancel()
         for node in self.nodes:
             node.end()
+            node.store.close()
+            node.target.close()
 
     async def _add(self, name: str, service: str, store: Address) -> None:
         target = SoakTarget(
