Retrieve the error that a test of cancelled exchanges expects

Cause: test_a_time_limit_holds left the TimeoutError of its task unread.

Change: the test takes the error and checks that it is a TimeoutError, which it did not before.

--- a/tests/httpio/test_client_cancelled.py
+++ b/tests/httpio/test_client_cancelled.py
@@ -85,10 +85,13 @@
                 async with asyncio.timeout_at(0.3):
                     await client.exchange(_REQUEST)
 
-            await asyncio.wait((asyncio.ensure_future(exchange()),), timeout=60)
-            return loop.time()
+            task = asyncio.ensure_future(exchange())
+            await asyncio.wait((task,), timeout=60)
+            return loop.time(), task.exception()
 
-        assert run_simulated(scenario) == pytest.approx(0.3)
+        ended_s, error = run_simulated(scenario)
+        assert ended_s == pytest.approx(0.3)
+        assert isinstance(error, TimeoutError)
 
 
 class TestCancelledWithItsAnswer:
