--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -21,8 +21,6 @@
 _SIGNAL_TAKES_S = 0.3
 # Processor time, as the time that a start takes depends on the host's load.
 _INTERPRETER_CPU_S = 0.1
-# A busy host delivers signals late.
-_KILL_AFTER_S = GRACE_S + 1
 # SIGTERM ends a node that doesn't listen yet, SIGKILL one that was paused.
 _STOPPED = (0, -signal.SIGTERM, -signal.SIGKILL)
 _SHORT_S = (0.3, 2.5)
@@ -75,7 +73,7 @@
     if node.is_running and not node.is_stopping:
         now_s = asyncio.get_running_loop().time()
         world.promises.work.stopped(node.name, now_s)
-        status = await node.stop_within(_KILL_AFTER_S)
+        status = await node.stop_within(GRACE_S)
         if status not in _STOPPED:
             _break(world, f'{node.name} ended with {status} at a stop')
     await restart(world, node)
