--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -238,3 +238,9 @@
 
 def run(scenario):
     return asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+class ServingGate:
+    """The gate of a node that does not stop and gets no calls."""
+
+    stopping = False
--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -24,6 +24,7 @@
 from fescueknot.targets.messages import TargetEntry
 from tests.relay.fakes import (
     RecordingObserver,
+    ServingGate,
     make_exchange,
 )
 from tools.standin.platform_store import PlatformStoreStandin
@@ -69,7 +70,7 @@
             header_names=_ADAPTER.header_names, observer=self.observer
         )
         handler = PeerHandler(
-            gatekeeper=None,
+            gatekeeper=ServingGate(),
             header_names=_ADAPTER.header_names,
             on_routes_version=lambda version, host: None,
             updates_by_header={},
