Wait at a stop for requests of which a part has been received

What callers saw: a node that stopped, idle but for an upload whose bytes came slowly, ended 3.35 s after SIGTERM; the connection was reset in the middle of the body. Cause: a stop counted a request from the moment at which all of it was read. Change: it is in progress from its first byte.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -65,7 +65,7 @@
         """Record the end of a request, with its error if it failed."""
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol):  # noqa: WPS214
     """Reads requests and writes the responses in the order of the requests.
 
     What it holds of them counts towards the ``buffers`` of its owner. Requests
@@ -99,6 +99,11 @@
         """Return whether the client has not yet taken all of a response."""
         return unread_bytes(self._transport) > 0
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has been received in part."""
+        return self._parser.has_begun and not self._discards_input
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
         self._transport = transport
@@ -155,8 +160,7 @@
 
         Returns whether it is idle, but for input that is still to be read.
         """
-        is_between_requests = not self._pipeline and not self._parser.has_begun
-        if self._discards_input or not is_between_requests:
+        if self._discards_input or self._pipeline or self.is_receiving:
             return False
         if has_input(self._transport):
             return True
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -48,6 +48,11 @@
         """
         return sum(connection.has_unread for connection in self._connections)
 
+    @property
+    def requests_unfinished(self) -> int:
+        """Return the number of requests that have been received in part."""
+        return sum(connection.is_receiving for connection in self._connections)
+
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -76,12 +76,14 @@
     def in_progress(self) -> int:
         """Return the number of requests in progress.
 
-        A request is in progress until its response has been read.
+        A request is in progress from its first byte until its response has
+        been read.
         """
-        servers = (self._caller_server, self._peer_server)
         return sum(
-            server.requests_in_progress + server.responses_unread
-            for server in servers
+            server.requests_unfinished
+            + server.requests_in_progress
+            + server.responses_unread
+            for server in (self._caller_server, self._peer_server)
         )
 
     def _stop_listening(self) -> bool:
--- a/tests/relay/test_end_of_process.py
+++ b/tests/relay/test_end_of_process.py
@@ -43,6 +43,7 @@
 
     def __init__(self, clients):
         self._clients = clients
+        self._client = None
         self.handler = _Handler()
         self._callers = self._server()
         self._peers = self._server()
@@ -61,14 +62,35 @@
         address = ('127.0.0.1', self._callers.port)
         client = self._clients.enter_context(socket.create_connection(address))
         client.sendall(_REQUEST[:_HEAD_BYTES_READ])
+        self._client = client
         await stop
         client.setblocking(False)
         return client
 
+    def send_rest(self):
+        """Send the rest of the request of which a half was read."""
+        self._client.sendall(_REQUEST[_HEAD_BYTES_READ:])
+
     def _server(self):
         return Server(handler=self.handler, report_error=lambda error: None)
 
 
+class TestUploads:
+    """Requests whose bytes arrive slowly while a node stops."""
+
+    @pytest.mark.parametrize('after_s', [0.5, 3.5, 5])
+    def test_one_is_answered_though_its_rest_is_late(self, after_s):
+        # Guards against an exit, as idle, in the middle of an upload.
+        async def scenario(clients):
+            node = _StoppedNode(clients)
+            asyncio.get_running_loop().call_later(after_s, node.send_rest)
+            client = await node.half_a_request()
+            return client.recv(4096)
+
+        with contextlib.ExitStack() as clients:
+            assert run_simulated(scenario, clients).endswith(b'whole')
+
+
 class TestEndOfProcess:
     """What is done just before the process ends."""
 
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -40,6 +40,7 @@
     def __init__(self):
         self.requests_in_progress = 0
         self.responses_unread = 0
+        self.requests_unfinished = 0
         self.has_unread_requests = False
         self.stopped_at_s = None
         self.last_stopped_at_s = None
@@ -316,3 +317,28 @@
             return asyncio.get_running_loop().time()
 
         assert run_simulated(scenario) < _GRACE_S
+
+
+class TestUnfinishedRequests:
+    """Requests of which a part has been received."""
+
+    def test_the_node_waits_for_the_rest(self):
+        # Guards against an exit, as idle, in the middle of an upload.
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.requests_unfinished = 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(4.5, setattr, node.server, 'requests_unfinished', 0)
+            await node.stop
+            return loop.time()
+
+        assert 4.5 < run_simulated(scenario) < _GRACE_S
+
+    def test_it_stops_within_the_grace_period_all_the_same(self):
+        async def scenario():
+            node = _StoppingNode(ANSWERED)
+            node.server.requests_unfinished = 1
+            await node.stop
+            return asyncio.get_running_loop().time()
+
+        assert run_simulated(scenario) < _GRACE_S
