Write the tests of unfinished messages at a stop once

The cases for answers that are not read and for requests that are received in part were the same but for a name; each check stands as it was.

--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -280,65 +280,48 @@
         assert run_simulated(scenario) > _CALLERS_LEFT_S
 
 
-class TestUnreadAnswers:
-    """Answers that callers have not read to the end."""
+@pytest.mark.parametrize(
+    'unfinished', ['responses_unread', 'requests_unfinished']
+)
+class TestUnfinishedMessages:
+    """Answers not read to the end, requests received in part."""
 
-    def test_the_node_waits_for_readers(self):
-        # Guards against an exit with bytes of answers in its buffers.
+    def test_the_node_waits_for_the_rest(self, unfinished):
+        # Guards against an exit with bytes of answers in its buffers, or, as
+        # idle, in the middle of an upload.
         async def scenario():
             node = _StoppingNode(ANSWERED)
-            node.server.responses_unread = 1
+            setattr(node.server, unfinished, 1)
             loop = asyncio.get_running_loop()
-            loop.call_later(4.5, setattr, node.server, 'responses_unread', 0)
+            loop.call_later(4.5, setattr, node.server, unfinished, 0)
             await node.stop
             return loop.time()
 
         assert 4.5 < run_simulated(scenario) < _GRACE_S
 
-    def test_the_node_waits_for_requests_that_are_not_read(self):
-        # Guards against an exit with requests in the kernel.
-        async def scenario():
-            node = _StoppingNode(ANSWERED)
-            node.server.has_unread_requests = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                3.5, setattr, node.server, 'has_unread_requests', False
-            )
-            await node.stop
-            return loop.time()
-
-        assert 3.5 < run_simulated(scenario) < _GRACE_S
-
-    def test_it_stops_within_the_grace_period_all_the_same(self):
+    def test_it_stops_within_the_grace_period_all_the_same(self, unfinished):
         async def scenario():
             node = _StoppingNode(ANSWERED)
-            node.server.responses_unread = 1
+            setattr(node.server, unfinished, 1)
             await node.stop
             return asyncio.get_running_loop().time()
 
         assert run_simulated(scenario) < _GRACE_S
 
 
-class TestUnfinishedRequests:
-    """Requests of which a part has been received."""
+class TestUnreadRequests:
+    """Requests that lie in the kernel."""
 
-    def test_the_node_waits_for_the_rest(self):
-        # Guards against an exit, as idle, in the middle of an upload.
+    def test_the_node_waits_for_them(self):
+        # Guards against an exit with requests in the kernel.
         async def scenario():
             node = _StoppingNode(ANSWERED)
-            node.server.requests_unfinished = 1
+            node.server.has_unread_requests = True
             loop = asyncio.get_running_loop()
-            loop.call_later(4.5, setattr, node.server, 'requests_unfinished', 0)
+            loop.call_later(
+                3.5, setattr, node.server, 'has_unread_requests', False
+            )
             await node.stop
             return loop.time()
 
-        assert 4.5 < run_simulated(scenario) < _GRACE_S
-
-    def test_it_stops_within_the_grace_period_all_the_same(self):
-        async def scenario():
-            node = _StoppingNode(ANSWERED)
-            node.server.requests_unfinished = 1
-            await node.stop
-            return asyncio.get_running_loop().time()
-
-        assert run_simulated(scenario) < _GRACE_S
+        assert 3.5 < run_simulated(scenario) < _GRACE_S
