Give the rig tables of words and players for its disruptions

Each family of words is a module with a table of its own now (words.py joins them), and each process plays what its table of players knows. A word without a player is named at the end of a run.

--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -8,10 +8,11 @@
 import tempfile
 
 from tools.site_rig.deployment import TARGET_GROUPS, DeploymentRun
-from tools.site_rig.plans import MIXED, Planner
+from tools.site_rig.plans import MIXED, plan_of, site_of
 from tools.site_rig.report import print_report
 from tools.site_rig.scene import Scene, hosts_of
 from tools.site_rig.site import load_site
+from tools.site_rig.spread import Spread
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # Second part of the addresses, so that runs side by side do not meet.
@@ -39,19 +40,23 @@
 
 
 def _scene(options: argparse.Namespace, seed: int) -> Scene:
-    site = load_site(options.site)
+    site = site_of(load_site(options.site), options.day)
     network = _FIRST_NETWORK + os.getpid() % _NETWORKS
     hosts = hosts_of(site, f'127.{network}.1', options.zones, TARGET_GROUPS)
-    planner = Planner(hosts=hosts, length_s=options.length, seed=seed)
+    plan = plan_of(
+        Spread(site=site, hosts=hosts, length_s=options.length, seed=seed),
+        options.day,
+    )
     prefix = f'{site.name}-{options.day}-{seed}-'
     return Scene(
         site=site,
         seed=seed,
-        hosts=hosts,
-        disruptions=planner.disruptions(site, options.day),
+        hosts=plan.hosts,
+        disruptions=plan.disruptions,
         folder=tempfile.mkdtemp(prefix=prefix, dir=options.keep),
         length_s=options.length,
         rate_ratio=options.rate,
+        not_played=plan.not_played,
     )
 
 
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -41,7 +41,7 @@
         self._bounds = bounds
         self._records = records
         self._process: subprocess.Popen[bytes] | None = None
-        self._is_stopping = False
+        self._is_held = False
         self._versions = 0
 
     def configure(self) -> None:
@@ -81,35 +81,65 @@
             )
         self._note(SignalKind.START, f'pid {self._process.pid}')
 
+    def send(self, sent: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._is_running:
+            self._process.send_signal(sent)
+
     def reload(self) -> None:
         """Send SIGHUP."""
         if self._is_running:
             self.configure()
             self._note(SignalKind.HUP)
-            self._process.send_signal(signal.SIGHUP)
+            self.send(signal.SIGHUP)
 
     async def restart(self) -> None:
         """Send SIGTERM, and start again after the end."""
-        if self._is_stopping or not self._is_running:
-            return
-        self._is_stopping = True
+        if await self.stop():
+            await asyncio.sleep(_RESTART_S)
+            self.start()
+            self._is_held = False
+
+    async def stop(self) -> bool:
+        """Send SIGTERM and wait for the end; it does not start by itself.
+
+        Return whether it was this call that stopped it.
+        """
+        if self._is_held or not self._is_running:
+            return False
+        self._is_held = True
         self._note(SignalKind.TERM)
-        self._process.send_signal(signal.SIGTERM)
+        self.send(signal.SIGTERM)
         ends_s = time.monotonic() + self._bounds.grace_s
         while self._is_running and time.monotonic() < ends_s:
             await asyncio.sleep(_POLL_S)
         self.end()
         self._note_end()
-        await asyncio.sleep(_RESTART_S)
-        self.start()
-        self._is_stopping = False
+        return True
+
+    async def kill(self, down_s: float) -> None:
+        """Send SIGKILL, and start again after a time.
+
+        One that is being stopped or is down is started by who stopped it.
+        """
+        self._note(SignalKind.KILL)
+        self.send(signal.SIGKILL)
+        is_held = self._is_held
+        self._is_held = True
+        await asyncio.sleep(down_s)
+        if not is_held:
+            self.end()
+            self._note_end()
+            self.start()
+            self._is_held = False
 
     async def revive(self) -> None:
         """Start again whenever the process has ended by itself."""
         while True:
             await asyncio.sleep(_RESTART_S)
-            if not self._is_stopping and not self._is_running:
+            if not self._is_held and not self._is_running:
                 self._note_end()
+                self._note(SignalKind.REVIVAL)
                 self.start()
 
     def end(self) -> None:
--- /dev/null
+++ b/tools/site_rig/operator_players.py
@@ -0,0 +1,12 @@
+"""What the operator's process of a run plays, as a table of its players."""
+
+from tools.site_rig.node_player import ConfigurationPlayer, NodePlayer
+from tools.site_rig.player import Player
+from tools.site_rig.stage import Stage
+
+OPERATOR_PLAYERS: tuple[type[Player], ...] = (ConfigurationPlayer, NodePlayer)
+
+
+def operator_players(stage: Stage) -> list[Player]:
+    """Return the players for a run."""
+    return [player(stage=stage) for player in OPERATOR_PLAYERS]
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -1,13 +1,13 @@
 """The disruptions of a run: those of a day, or all kinds at once."""
 
-import itertools
-import math
-import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+
+import msgspec
 
-from tools.site_rig.configurations import IDLE_LIMITS_S
 from tools.site_rig.scene import Disruption, Host
-from tools.site_rig.site import PlanEntry, Site
+from tools.site_rig.site import Closing, PlanEntry, Site
+from tools.site_rig.spread import Spread
+from tools.site_rig.words import WORDS
 
 MIXED = 'mixed'
 _CONFIGURATION_KINDS = ('timeout', 'idle', 'route', 'weights', 'skew')
@@ -25,59 +25,89 @@
         for number in range(20)
     ),
 )
+# What strikes at the end comes after a change and in the load.
+_CLOSING_BEFORE_END_S = 10.0
+_AFTER_CHANGE_S = 0.01
+_CLOSINGS = frozenset(('kill_all', 'power_off_all'))
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """What happens in a run, and what of the day is left out."""
+
+    hosts: tuple[Host, ...]
+    disruptions: tuple[Disruption, ...]
+    not_played: tuple[str, ...]
 
 
 class Planner:
-    """Spreads the plan of a day over the hosts."""
-
-    def __init__(
-        self, *, hosts: tuple[Host, ...], length_s: float, seed: int
-    ) -> None:
-        self._hosts = hosts
-        self._length_s = length_s
-        self._rng = random.Random(seed)  # noqa: S311
-        self._makers = {
-            'roll_term': self._roll,
-            'hup': self._roll,
-            'config_change': self._configure,
-            'config_storm': self._configure,
-        }
-
-    def disruptions(self, site: Site, day: str) -> tuple[Disruption, ...]:
+    """Spreads the words of a day over the hosts."""
+
+    def __init__(self, *, spread: Spread) -> None:
+        self._spread = spread
+        self._not_played: list[str] = []
+
+    def plan(
+        self, entries: Iterable[PlanEntry], closing: Closing | None
+    ) -> Plan:
         """Return what happens, in its order."""
-        found = itertools.chain.from_iterable(
-            self._makers[entry.kind](entry)
-            for entry in plan_of(site, day)
-            if entry.kind in self._makers
+        found: list[Disruption] = []
+        for entry in sorted(entries, key=lambda planned: planned.at):
+            found.extend(self._disruptions(entry))
+        if closing is not None:
+            found.extend(self._closing(closing))
+        ends_s = self._spread.length_s
+        return Plan(
+            hosts=self._spread.hosts,
+            disruptions=tuple(
+                made
+                for made in sorted(found, key=lambda made: made.at_s)
+                if made.at_s < ends_s
+            ),
+            not_played=tuple(self._not_played),
         )
-        in_time = [made for made in found if made.at_s < self._length_s]
-        return tuple(sorted(in_time, key=lambda made: made.at_s))
 
-    def _roll(self, entry: PlanEntry) -> Iterator[Disruption]:
-        count = math.ceil(entry.share * len(self._hosts))
-        chosen = self._rng.sample(self._hosts, count)
-        for number, host in enumerate(chosen):
+    def _disruptions(self, entry: PlanEntry) -> Iterator[Disruption]:
+        word = WORDS.get(entry.kind)
+        if word is None:
+            self._leave_out(entry.kind, entry.how, entry.at)
+            return
+        rest = entry.hows - word.hows
+        if rest:
+            self._leave_out(entry.kind, ' '.join(sorted(rest)), entry.at)
+        yield from word.maker(self._spread, entry)
+
+    def _closing(self, closing: Closing) -> Iterator[Disruption]:
+        at_s = self._spread.length_s - _CLOSING_BEFORE_END_S
+        rest = closing.hows - {'all'}
+        if closing.kind not in _CLOSINGS or rest:
+            self._leave_out(closing.kind, ' '.join(sorted(rest)), at_s)
+            return
+        yield Disruption(at_s=at_s, kind='config_change', how='timeout')
+        for host in self._spread.there(at_s):
             yield Disruption(
-                at_s=entry.at + number * entry.gap_s,
-                kind=entry.kind,
+                at_s=at_s + _AFTER_CHANGE_S,
+                kind='node_kill',
                 host=host.name,
-                is_busy=entry.how == 'busy',
+                for_s=closing.down_s,
             )
 
-    def _configure(self, entry: PlanEntry) -> Iterator[Disruption]:
-        count = 1 + int(entry.for_s / entry.gap_s)
-        for number in range(count):
-            is_idle = entry.how == 'idle'
-            yield Disruption(
-                at_s=entry.at + number * entry.gap_s,
-                kind='config_change',
-                how=entry.how,
-                idle_limit_s=self._rng.choice(IDLE_LIMITS_S) * is_idle,
-            )
+    def _leave_out(self, kind: str, how: str, at_s: float) -> None:
+        word = f'{kind} {how}'.strip()
+        self._not_played.append(f'{word} at {at_s:g} s')
 
 
-def plan_of(site: Site, day: str) -> tuple[PlanEntry, ...]:
+def plan_of(spread: Spread, day: str) -> Plan:
     """Return the plan of a day by its name."""
+    planner = Planner(spread=spread)
+    if day == MIXED:
+        return planner.plan(_MIXED_PLAN, None)
+    found = spread.site.day_named(day)
+    return planner.plan(found.entries, found.closing)
+
+
+def site_of(site: Site, day: str) -> Site:
+    """Return the site with the traffic of a day."""
     if day == MIXED:
-        return _MIXED_PLAN
-    return next(found.plan for found in site.day if found.name == day)
+        return site
+    traffic = site.day_named(day).traffic or site.traffic
+    return msgspec.structs.replace(site, traffic=traffic)
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -39,8 +39,11 @@
     TERM = 'SIGTERM'
     HUP = 'SIGHUP'
     CONFIGURATION = 'configuration'
+    KILL = 'SIGKILL'
     START = 'start'
     END = 'end'
+    # It ended by itself and is about to start again.
+    REVIVAL = 'revival'
 
 
 class RequestRecord(
@@ -105,7 +108,19 @@
     detail: str = ''
 
 
-Record = RequestRecord | RunRecord | LagRecord | SignalRecord
+class TroubleRecord(
+    msgspec.Struct, frozen=True, kw_only=True, tag='trouble', omit_defaults=True
+):
+    """An unplanned disruption of a machine, or of its target alone."""
+
+    host: str
+    kind: str
+    from_s: float
+    until_s: float
+    is_of_target: bool = False
+
+
+Record = RequestRecord | RunRecord | LagRecord | SignalRecord | TroubleRecord
 
 
 class RecordFile:
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -36,6 +36,7 @@
     at_any_time = occasions.get(str(Occasion.ANY_TIME), 0)
     if 0 < at_any_time <= _MOST_AT_ANY_TIME:
         print(f'  at any time {at_any_time}: as many as allowed')
+    _print_not_played(scene)
     for finding in lost:
         print(f'  {describe(finding)}')
         _print_lines(finding.case, folder)
@@ -64,6 +65,11 @@
     return f'{run.target} {run.end} {arrived_s:+.3f}..{ended_s:+.3f}'
 
 
+def _print_not_played(scene: Scene) -> None:
+    for word in scene.not_played:
+        print(f'  not played: {word}')
+
+
 def _print_lines(case: Case, folder: pathlib.Path) -> None:
     for line in lines_of(case, folder):
         print(f'    {line}', flush=True)
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -1,5 +1,6 @@
 """What all processes of a run share: hosts, disruptions, the clock."""
 
+import asyncio
 import pathlib
 from types import MappingProxyType
 
@@ -20,6 +21,7 @@
 )
 _TARGET_PORT = 8301
 _METRICS_PORT = 9464
+_POLL_S = 0.05
 
 
 class Host(msgspec.Struct, frozen=True, kw_only=True):
@@ -33,6 +35,13 @@
     speed: float
     memory_mb: float
     group: int
+    # Seconds after the start of the load; 0 is from the start, and for ever.
+    arrives_s: float = 0
+    leaves_s: float = 0
+
+    def is_there(self, at_s: float) -> bool:
+        """Tell whether it is planned to be there then."""
+        return self.arrives_s <= at_s and not 0 < self.leaves_s <= at_s
 
     def address(self, role: str) -> str:
         """Return the address of a role of the node."""
@@ -59,12 +68,18 @@
 
 
 class Disruption(msgspec.Struct, frozen=True, kw_only=True):
-    """Planned work at a time after the start of the load."""
+    """What happens to one host, or to all, after the start of the load.
+
+    ``ratio`` (``x`` in a site file) and ``for_s`` mean what they mean for the
+    word that it comes from, or what its maker says.
+    """
 
     at_s: float
     kind: str
     host: str = ''
     how: str = ''
+    ratio: float = 0
+    for_s: float = 0
     # A burst of requests meets the signal.
     is_busy: bool = False
     idle_limit_s: float = 0
@@ -81,6 +96,8 @@
     length_s: float
     rate_ratio: float
     began_s: float = 0
+    # Words of the day that the rig leaves out.
+    not_played: tuple[str, ...] = ()
 
     def host_named(self, name: str) -> Host:
         """Return a host."""
@@ -91,9 +108,30 @@
         """Return the end of the load."""
         return self.began_s + self.length_s
 
+    @property
+    def first_hosts(self) -> tuple[Host, ...]:
+        """Return the hosts that are there from the start."""
+        return tuple(host for host in self.hosts if not host.arrives_s)
+
     def write(self, path: pathlib.Path) -> None:
         """Write it for the other processes."""
-        path.write_bytes(msgspec.json.encode(self))
+        written = path.with_suffix('.new')
+        written.write_bytes(msgspec.json.encode(self))
+        written.replace(path)
+
+    def begin(self) -> None:
+        """Tell the processes that run already when the load begins."""
+        self.write(self._begun_path)
+
+    async def begun(self) -> 'Scene':
+        """Wait until it is known when the load begins."""
+        while not self._begun_path.exists():
+            await asyncio.sleep(_POLL_S)
+        return read_scene(self._begun_path)
+
+    @property
+    def _begun_path(self) -> pathlib.Path:
+        return pathlib.Path(self.folder) / 'begun.json'
 
 
 def read_scene(path: pathlib.Path) -> Scene:
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -122,26 +122,58 @@
     config_ms: float
     grace_s: float
     budget_slack: float
+    touch_ms: float = 3000
 
 
-class PlanEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """A planned change of a day."""
+class PlanEntry(
+    msgspec.Struct, frozen=True, kw_only=True, rename={'ratio': 'x'}
+):
+    """A word of a day's plan or faults; ``None`` is the word's usual value."""
 
     at: float
     kind: str
     how: str = ''
-    share: float = 1
+    share: float | None = None
+    count: int | None = None
+    ratio: float | None = None
     gap_s: float = 1
-    for_s: float = 0
+    for_s: float | None = None
+    service: str = ''
+    zone: str = ''
+
+    @property
+    def hows(self) -> frozenset[str]:
+        """Return the words of ``how``."""
+        return frozenset(self.how.split())
+
+
+class Closing(msgspec.Struct, frozen=True, kw_only=True):
+    """What strikes all machines at the end of a day."""
+
+    kind: str
+    down_s: float
+    how: str = ''
+
+    @property
+    def hows(self) -> frozenset[str]:
+        """Return the words of ``how``."""
+        return frozenset(self.how.split())
 
 
 class Day(msgspec.Struct, frozen=True, kw_only=True):
-    """A day: its plan and its traffic."""
+    """A day: its plan, faults and traffic."""
 
     name: str
     plan: tuple[PlanEntry, ...] = ()
+    faults: tuple[PlanEntry, ...] = ()
+    closing: Closing | None = None
     traffic: tuple[Traffic, ...] = ()
 
+    @property
+    def entries(self) -> tuple[PlanEntry, ...]:
+        """Return planned work and faults."""
+        return self.plan + self.faults
+
 
 class Site(msgspec.Struct, frozen=True, kw_only=True):
     """A site file."""
@@ -160,6 +192,10 @@
         """Return a kind of request."""
         return next(found for found in self.classes if found.name == name)
 
+    def day_named(self, name: str) -> Day:
+        """Return a day."""
+        return next(found for found in self.day if found.name == name)
+
     def service_named(self, name: str) -> ServiceRule:
         """Return a service."""
         return next(found for found in self.services if found.name == name)
--- /dev/null
+++ b/tools/site_rig/target_players.py
@@ -0,0 +1,11 @@
+"""What a process of targets plays, as a table of its players."""
+
+from tools.site_rig.player import Player
+from tools.site_rig.target_group import TargetGroup
+
+TARGET_PLAYERS: tuple[type[Player], ...] = ()
+
+
+def target_players(group: TargetGroup) -> list[Player]:
+    """Return the players for a group of targets."""
+    return [player(group=group) for player in TARGET_PLAYERS]
--- /dev/null
+++ b/tools/site_rig/words.py
@@ -0,0 +1,14 @@
+"""All words of a site file that the rig plays, by their names.
+
+Each family of words is a module of its own with a table that is joined here.
+"""
+
+from types import MappingProxyType
+
+from tools.site_rig.configuration_words import CONFIGURATION_WORDS
+from tools.site_rig.node_words import NODE_WORDS
+from tools.site_rig.spread import Word
+
+WORDS: MappingProxyType[str, Word] = MappingProxyType(
+    {**CONFIGURATION_WORDS, **NODE_WORDS}
+)
