--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -1,9 +1,11 @@
 """The rule LOST of the rig: which records count and which do not."""
 
+import msgspec
 import pytest
 
 from tools.site_rig.cases import Case, Excuse, Limits, Occasion
 from tools.site_rig.cut_rates import CutRates
+from tools.site_rig.joining import troubles_of
 from tools.site_rig.records import (
     Outcome,
     RequestRecord,
@@ -11,6 +13,7 @@
     RunRecord,
     SignalKind,
     SignalRecord,
+    TroubleRecord,
 )
 from tools.site_rig.rule_lost import judge
 
@@ -195,6 +198,115 @@
         assert found.counts
 
 
+def trouble(from_s: float, until_s: float, **others) -> TroubleRecord:
+    fields = {'host': 'h', 'kind': 'node_freeze'}
+    return TroubleRecord(
+        from_s=SIGNAL_S + from_s,
+        until_s=SIGNAL_S + until_s,
+        **(fields | others),
+    )
+
+
+def with_troubles(seen: Case, *troubles: TroubleRecord) -> Case:
+    concerned = troubles_of(seen, troubles)
+    return msgspec.structs.replace(seen, troubles=concerned)
+
+
+# Sent at 1 s and cut at 2 s; the window begins 3 s before.
+PLANNED = {
+    'SIGTERM': case(request(1, 1), CUT),
+    'SIGHUP': case(request(1, 1), CUT, kind=HUP),
+    'configuration': case(request(1, 1), CUT, kind=CONFIGURATION),
+}
+AWAY = Case(request=request(50, 1), runs=(run(50.01, 51, RunEnd.CUT),))
+# Passed on late, and still at work when it was cut.
+LONG_AWAY = Case(
+    request=request(50, 9, time_left_s=20), runs=(run(50.01, 59, RunEnd.CUT),)
+)
+
+
+class TestDisruptions:
+    """Unplanned disruptions excuse what the rule says, and no more."""
+
+    # Guards against blaming a node for what was done to its machine.
+    @pytest.mark.parametrize('name', PLANNED)
+    @pytest.mark.parametrize(
+        'seen',
+        [
+            trouble(1.5, 1.6),
+            trouble(-5, -2),
+            trouble(2, 9),
+            trouble(1.5, 1.6, host='t'),
+            trouble(1.5, 1.6, host='t', is_of_target=True),
+        ],
+    )
+    def test_beside_planned_work(self, name, seen):
+        disrupted = with_troubles(PLANNED[name], seen)
+
+        assert judge(disrupted, LIMITS).excuse is Excuse.DISRUPTED
+
+    # Guards against an excuse that is broader than the words of the rule.
+    @pytest.mark.parametrize('name', PLANNED)
+    @pytest.mark.parametrize(
+        'seen',
+        [
+            trouble(-5, -2.01),
+            trouble(2.01, 9),
+            trouble(1.5, 1.6, host='other'),
+            trouble(1.5, 1.6, is_of_target=True),
+        ],
+    )
+    def test_not_beside_planned_work(self, name, seen):
+        assert judge(with_troubles(PLANNED[name], seen), LIMITS).counts
+
+    # Guards against excusing a request by a target that rejected it.
+    def test_target_that_rejected(self):
+        seen = case(request(1, 0.3), REJECTED)
+
+        found = judge(with_troubles(seen, trouble(1.1, 1.2, host='t')), LIMITS)
+
+        assert found.counts
+
+    # Guards against judging machines that are not in touch.
+    @pytest.mark.parametrize(
+        ('seen', 'disruption', 'counts'),
+        [
+            (AWAY, trouble(50.5, 50.6), False),
+            (AWAY, trouble(40, 47.02), False),
+            (AWAY, trouble(40, 47.005), True),
+            (AWAY, trouble(51.01, 60), True),
+            (AWAY, trouble(50.5, 50.6, host='other'), True),
+            (AWAY, trouble(50.5, 50.6, is_of_target=True), True),
+            (AWAY, trouble(50.5, 50.6, host='t', is_of_target=True), False),
+            (LONG_AWAY, trouble(47, 47.1), False),
+            (LONG_AWAY, trouble(58, 58.1), False),
+            # In touch when it passes on and when it closes.
+            (LONG_AWAY, trouble(52, 53), True),
+        ],
+    )
+    def test_at_any_time(self, seen, disruption, counts):
+        found = judge(with_troubles(seen, disruption), LIMITS)
+
+        assert found.occasion is Occasion.ANY_TIME
+        assert found.counts is counts
+        assert counts or found.excuse is Excuse.OUT_OF_TOUCH
+
+    # Guards against judging a node just started, but not by itself.
+    @pytest.mark.parametrize(
+        ('kind', 'at_s', 'counts'),
+        [
+            (SignalKind.START, 48.01, False),
+            (SignalKind.START, 47, True),
+            (SignalKind.REVIVAL, 48.01, True),
+        ],
+    )
+    def test_starts(self, kind, at_s, counts):
+        start = SignalRecord(host='h', kind=kind, at_s=SIGNAL_S + at_s)
+        seen = msgspec.structs.replace(AWAY, signals=(start,))
+
+        assert judge(seen, LIMITS).counts is counts
+
+
 class TestCutRates:
     """Cuts beside configurations against those at other times."""
 
--- a/tools/site_rig/cases.py
+++ b/tools/site_rig/cases.py
@@ -10,6 +10,7 @@
     RunRecord,
     SignalKind,
     SignalRecord,
+    TroubleRecord,
 )
 
 
@@ -19,6 +20,7 @@
     grace_s: float
     apply_s: float
     loss_slack_s: float = 0.2
+    stable_s: float = 3.0
 
 
 class Occasion(enum.StrEnum):
@@ -41,6 +43,8 @@
     BEHIND = 'sent behind another and not passed on'
     CROSSED = 'it crossed a close'
     NOT_RAISED = 'as many are cut at other times'
+    DISRUPTED = 'unplanned disruption beside planned work'
+    OUT_OF_TOUCH = 'the machine was not in touch'
     USED_MOST = 'most of its time used beside a configuration'
 
 
@@ -50,11 +54,25 @@
     request: RequestRecord
     runs: tuple[RunRecord, ...] = ()
     signals: tuple[SignalRecord, ...] = ()
+    # Of its node's machine, and of targets it was passed on to.
+    troubles: tuple[TroubleRecord, ...] = ()
+
+    @property
+    def passed_on(self) -> tuple[RunRecord, ...]:
+        """Return its arrivals at targets that did not reject it."""
+        return tuple(run for run in self.runs if run.end is not RunEnd.REJECTED)
 
     @property
     def is_passed_on(self) -> bool:
         """Tell whether it reached a target that did not reject it."""
-        return any(run.end is not RunEnd.REJECTED for run in self.runs)
+        return bool(self.passed_on)
+
+    def is_disrupted(self, from_s: float, until_s: float) -> bool:
+        """Tell whether an unplanned disruption touches a span."""
+        return any(
+            trouble.from_s <= until_s and trouble.until_s >= from_s
+            for trouble in self.troubles
+        )
 
     def times(self, kind: SignalKind) -> list[float]:
         """Return when the node got signals of a kind."""
--- a/tools/site_rig/joining.py
+++ b/tools/site_rig/joining.py
@@ -2,7 +2,7 @@
 
 import collections
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -13,6 +13,7 @@
     RequestRecord,
     RunRecord,
     SignalRecord,
+    TroubleRecord,
     read_records,
 )
 from tools.site_rig.rule_lost import judge
@@ -24,6 +25,7 @@
     requests: list[RequestRecord]
     runs: list[RunRecord]
     signals: list[SignalRecord]
+    troubles: list[TroubleRecord]
 
 
 def load_records(folder: pathlib.Path) -> RunRecords:
@@ -37,6 +39,7 @@
         signals=sorted(
             _only(records, SignalRecord), key=lambda signal: signal.at_s
         ),
+        troubles=_only(records, TroubleRecord),
     )
 
 
@@ -60,11 +63,30 @@
     for signal in records.signals:
         signals[signal.host].append(signal)
     for request in records.requests:
-        yield Case(
+        case = Case(
             request=request,
             runs=tuple(runs.get(request.attempt, ())),
             signals=(*signals[request.host], *signals['']),
         )
+        concerned = troubles_of(case, records.troubles)
+        yield msgspec.structs.replace(case, troubles=concerned)
+
+
+def troubles_of(
+    case: Case, troubles: Iterable[TroubleRecord]
+) -> tuple[TroubleRecord, ...]:
+    """Return the disruptions that concern a request.
+
+    Those are of the machine that took it, unless they are of the target there
+    alone, and all of the targets it was passed on to.
+    """
+    targets = {run.target for run in case.passed_on}
+    return tuple(
+        trouble
+        for trouble in troubles
+        if trouble.host in targets
+        or (trouble.host == case.request.host and not trouble.is_of_target)
+    )
 
 
 def _only(records: list[Record], kind: type) -> list:
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -69,7 +69,7 @@
         written.write_bytes(msgspec.json.encode(settings))
         written.replace(self._settings)
 
-    def start(self) -> None:
+    def start(self, kind: SignalKind = SignalKind.START) -> None:
         """Start the process."""
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
@@ -79,7 +79,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        self._note(SignalKind.START, f'pid {self._process.pid}')
+        self._note(kind, f'pid {self._process.pid}')
 
     def send(self, sent: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -139,8 +139,7 @@
             await asyncio.sleep(_RESTART_S)
             if not self._is_held and not self._is_running:
                 self._note_end()
-                self._note(SignalKind.REVIVAL)
-                self.start()
+                self.start(SignalKind.REVIVAL)
 
     def end(self) -> None:
         """Kill the process if it runs."""
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -42,7 +42,7 @@
     KILL = 'SIGKILL'
     START = 'start'
     END = 'end'
-    # It ended by itself and is about to start again.
+    # It had ended by itself.
     REVIVAL = 'revival'
 
 
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -77,7 +77,11 @@
 
 def _limits_of(scene: Scene) -> Limits:
     bounds = scene.site.bounds
-    return Limits(grace_s=bounds.grace_s, apply_s=bounds.config_ms / _MS_PER_S)
+    return Limits(
+        grace_s=bounds.grace_s,
+        apply_s=bounds.config_ms / _MS_PER_S,
+        stable_s=bounds.touch_ms / _MS_PER_S,
+    )
 
 
 def _print_figures(records: RunRecords) -> None:
--- a/tools/site_rig/rule_lost.py
+++ b/tools/site_rig/rule_lost.py
@@ -96,6 +96,27 @@
     )
 
 
+def _was_disrupted(case: Case, limits: Limits) -> bool:
+    request = case.request
+    return case.is_disrupted(request.began_s - limits.stable_s, request.ended_s)
+
+
+def _was_out_of_touch(case: Case, limits: Limits) -> bool:
+    moments = [case.request.ended_s]
+    moments.extend(run.arrived_s for run in case.passed_on)
+    return not all(_is_in_touch(case, at_s, limits) for at_s in moments)
+
+
+def _is_in_touch(case: Case, at_s: float, limits: Limits) -> bool:
+    """Tell whether the machine was; the store alone excuses nothing."""
+    from_s = at_s - limits.stable_s
+    is_started = any(
+        from_s <= started_s <= at_s
+        for started_s in case.times(SignalKind.START)
+    )
+    return not is_started and not case.is_disrupted(from_s, at_s)
+
+
 def _used_most(case: Case, limits: Limits) -> bool:
     request = case.request
     used_s = request.ended_s - request.began_s
@@ -112,6 +133,7 @@
     (Occasion.CONFIGURATION, is_near_configuration),
 )
 _ALL = tuple(Occasion)
+_PLANNED = tuple(name for name, _ in _OCCASIONS)
 _EXCUSES = (
     (Excuse.NOT_LOST, _is_not_lost, _ALL),
     (Excuse.TARGET, _target_broke_off, _ALL),
@@ -121,4 +143,6 @@
     (Excuse.LATE_WORK, _was_late_work, (Occasion.TERM,)),
     (Excuse.USED_MOST, _used_most, (Occasion.CONFIGURATION,)),
     (Excuse.CROSSED, _is_not_passed_on, (Occasion.ANY_TIME,)),
+    (Excuse.DISRUPTED, _was_disrupted, _PLANNED),
+    (Excuse.OUT_OF_TOUCH, _was_out_of_touch, (Occasion.ANY_TIME,)),
 )
