Play how targets and hosts come and go in the rig, and the store's troubles

release, scale_in, scale_out, replace_with_reuse and srv_crash start and end targets and nodes at further loopback addresses; a target that leaves says so in heartbeats, answers with Connection: close, serves drain_ms and a little longer and ends, and its node gets SIGTERM after it; some leave without draining first. A dark target takes no connection and answers nothing.

Each node has a gate of its own before the stand-in store, so that the store is silent, busy, slow, resets or loses answers for all nodes or for some, and watches hear nothing before the history is dropped.

Clients use hosts only while they are planned to be there.

--- /dev/null
+++ b/tests/site_rig/test_plans.py
@@ -0,0 +1,232 @@
+"""How the rig spreads the words of a day over hosts."""
+
+import collections
+
+import pytest
+
+from tests.site_rig.small_site import small_hosts, small_site
+from tools.site_rig.plans import Plan, plan_of
+from tools.site_rig.site import Closing, Day, PlanEntry
+from tools.site_rig.spread import Spread
+
+LENGTH_S = 44
+
+
+def planned(*entries: PlanEntry, closing: Closing | None = None) -> Plan:
+    day = Day(name='d', faults=entries, closing=closing)
+    spread = Spread(
+        site=small_site(day=(day,)),
+        hosts=small_hosts(),
+        length_s=LENGTH_S,
+        seed=1,
+    )
+    return plan_of(spread, 'd')
+
+
+def counts(plan: Plan) -> dict[str, int]:
+    return dict(collections.Counter(made.kind for made in plan.disruptions))
+
+
+def times(plan: Plan, kind: str) -> list[float]:
+    return [made.at_s for made in plan.disruptions if made.kind == kind]
+
+
+WORDS = {
+    'stop in turn': (
+        PlanEntry(at=1, kind='roll_term', share=0.5),
+        {'roll_term': 3},
+    ),
+    'kill': (PlanEntry(at=1, kind='node_kill'), {'node_kill': 1}),
+    'kill a herd': (PlanEntry(at=1, kind='herd_kill'), {'node_kill': 4}),
+    'kill after a change': (
+        PlanEntry(at=1, kind='after_ack_kill', count=2),
+        {'config_change': 1, 'node_kill': 2},
+    ),
+    'freeze': (PlanEntry(at=1, kind='node_freeze'), {'node_freeze': 1}),
+    'slow': (PlanEntry(at=1, kind='node_slow', share=0.3), {'node_slow': 2}),
+    'release': (
+        PlanEntry(at=1, kind='release', service='desk'),
+        {'arrive': 2, 'leave': 2},
+    ),
+    'release, one is spared': (
+        PlanEntry(at=1, kind='release', service='desk', share=1),
+        {'arrive': 2, 'leave': 2},
+    ),
+    'fewer targets': (PlanEntry(at=1, kind='scale_in'), {'leave': 1}),
+    'more targets': (
+        PlanEntry(at=1, kind='scale_out', share=0.6),
+        {'arrive': 2},
+    ),
+    'crash': (
+        PlanEntry(at=1, kind='srv_crash', how='all', share=1),
+        {'crash': 3},
+    ),
+    'crash for good': (
+        PlanEntry(at=1, kind='srv_crash', how='dark gone'),
+        {'crash': 1, 'host_stop': 1},
+    ),
+    'another service at the address': (
+        PlanEntry(at=1, kind='replace_with_reuse'),
+        {'crash': 1, 'host_stop': 1, 'arrive': 1},
+    ),
+    'it drains first': (
+        PlanEntry(at=1, kind='replace_with_reuse', how='drain'),
+        {'leave': 1, 'arrive': 1},
+    ),
+    'the machine goes too': (
+        PlanEntry(at=1, kind='replace_with_reuse', how='side'),
+        {'crash': 1, 'host_loss': 1, 'arrive': 1},
+    ),
+    'the store is down': (
+        PlanEntry(at=1, kind='platform_down', how='busy'),
+        {'store_gate': 6},
+    ),
+    'the store is down for some': (
+        PlanEntry(at=1, kind='platform_down', how='nodes reset meet drain'),
+        {'store_gate': 3, 'config_change': 1, 'leave': 1},
+    ),
+    'the store is slow': (
+        PlanEntry(at=1, kind='platform_slow'),
+        {'store_gate': 6},
+    ),
+    'the store loses answers': (
+        PlanEntry(at=1, kind='platform_lost', how='late'),
+        {'store_gate': 6},
+    ),
+    'the store drops its history': (
+        PlanEntry(at=1, kind='platform_compact', how='drain'),
+        {'store_gate': 6, 'store_compact': 1, 'config_change': 1, 'leave': 1},
+    ),
+    'a storm of changes': (
+        PlanEntry(at=1, kind='config_storm', for_s=2, gap_s=0.5, how='route'),
+        {'config_change': 5},
+    ),
+}
+
+
+class TestWords:
+    """What each word makes happen."""
+
+    # Guards against a word that is played for other hosts than it is about.
+    @pytest.mark.parametrize('name', WORDS)
+    def test_word(self, name):
+        entry, expected = WORDS[name]
+
+        plan = planned(entry)
+
+        assert counts(plan) == expected
+        assert not plan.not_played
+
+    # Guards against words that are left out without a word.
+    @pytest.mark.parametrize(
+        ('entry', 'left_out'),
+        [
+            (PlanEntry(at=1, kind='lossy'), 'lossy at 1 s'),
+            (
+                PlanEntry(at=1.5, kind='node_cut', how='odd'),
+                'node_cut odd at 1.5 s',
+            ),
+            (
+                PlanEntry(at=1, kind='node_cut'),
+                'node_cut (between nodes) at 1 s',
+            ),
+            (
+                PlanEntry(at=1, kind='platform_down', how='silent lapse'),
+                'platform_down lapse at 1 s',
+            ),
+            (
+                PlanEntry(at=1, kind='roll_term', how='busy leader'),
+                'roll_term leader at 1 s',
+            ),
+            (
+                PlanEntry(at=1, kind='scale_in', service='none'),
+                'scale_in (no host for it) at 1 s',
+            ),
+        ],
+    )
+    def test_left_out(self, entry, left_out):
+        assert left_out in planned(entry).not_played
+
+    # Guards against machines that stop one by one where two are asked for.
+    def test_two_at_a_time(self):
+        entry = PlanEntry(at=1, kind='roll_term', ratio=2, gap_s=2)
+
+        assert times(planned(entry), 'roll_term') == [1, 1, 3, 3, 5, 5]
+
+    # Guards against a store that is down for others than it should be.
+    @pytest.mark.parametrize(
+        ('kind', 'gates'), [('node_cut', 3), ('core_cut', 1)]
+    )
+    def test_cuts(self, kind, gates):
+        entry = PlanEntry(at=1, kind=kind, share=0.4)
+
+        assert counts(planned(entry)) == {'store_gate': gates}
+
+    # Guards against a host that leaves twice.
+    def test_host_that_leaves(self):
+        entries = [
+            PlanEntry(at=number, kind='scale_in', service='desk')
+            for number in range(1, 4)
+        ]
+
+        plan = planned(*entries)
+
+        left = [made.host for made in plan.disruptions]
+        assert len(set(left)) == len(left) == 2
+
+
+class TestHosts:
+    """Hosts that come later, and those that go."""
+
+    # Guards against a new host at an address that is in use.
+    def test_new_host(self):
+        plan = planned(PlanEntry(at=5, kind='scale_out'))
+
+        addresses = [host.ip for host in plan.hosts]
+        assert len(set(addresses)) == len(addresses) == 7
+        assert plan.hosts[-1].arrives_s == 5
+
+    # Guards against clients beside a host that isn't there.
+    def test_presence(self):
+        plan = planned(PlanEntry(at=5, kind='release', count=1))
+
+        old = next(host for host in plan.hosts if host.leaves_s)
+        new = plan.hosts[-1]
+        assert old.is_there(0)
+        assert not old.is_there(20)
+        assert not new.is_there(5)
+        assert new.is_there(20)
+        assert new.service == old.service
+
+    # Guards against a new target at an address that still is in use.
+    @pytest.mark.parametrize(
+        ('how', 'least_s'), [('', 8), ('side', 2), ('drain', 10)]
+    )
+    def test_address_used_again(self, how, least_s):
+        plan = planned(PlanEntry(at=5, kind='replace_with_reuse', how=how))
+
+        old = next(host for host in plan.hosts if host.leaves_s)
+        new = plan.hosts[-1]
+        assert new.ip == old.ip
+        assert new.group == old.group
+        assert new.service != old.service
+        assert new.arrives_s >= 5 + least_s
+
+
+class TestClosing:
+    """What strikes at the end."""
+
+    # Guards against a run without the end of its day.
+    def test_closing(self):
+        plan = planned(closing=Closing(kind='kill_all', down_s=0.7))
+
+        assert counts(plan) == {'config_change': 1, 'node_kill': 6}
+        killed = plan.disruptions[-1]
+        assert killed.for_s == 0.7
+        assert killed.at_s < LENGTH_S - 5
+
+    # Guards against another end that is played as one that is known.
+    def test_unknown(self):
+        plan = planned(closing=Closing(kind='kill_all', down_s=1, how='timed'))
+
+        assert plan.not_played == ('kill_all timed at 32 s',)
--- a/tools/site_rig/clients.py
+++ b/tools/site_rig/clients.py
@@ -114,7 +114,13 @@
             due_s += self._rng.expovariate(self._rate_per_s(due_s))
             await asyncio.sleep(due_s - time.monotonic())
             kind = self._rng.choices(self._kinds, self._weights)[0]
-            self._send(self._rng.choice(self._clients), kind)
+            self._send(self._rng.choice(self._present()), kind)
+
+    def _present(self) -> list[Client]:
+        at_s = time.monotonic() - self._scene.began_s
+        return [
+            client for client in self._clients if client.host.is_there(at_s)
+        ]
 
     def _rate_per_s(self, now_s: float) -> float:
         shape = self._traffic.shape
--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -8,7 +8,7 @@
 import tempfile
 
 from tools.site_rig.deployment import TARGET_GROUPS, DeploymentRun
-from tools.site_rig.plans import MIXED, plan_of, site_of
+from tools.site_rig.plans import MIXED, length_of, plan_of, site_of
 from tools.site_rig.report import print_report
 from tools.site_rig.scene import Scene, hosts_of
 from tools.site_rig.site import load_site
@@ -41,10 +41,11 @@
 
 def _scene(options: argparse.Namespace, seed: int) -> Scene:
     site = site_of(load_site(options.site), options.day)
+    length_s = length_of(site, options.day, options.length)
     network = _FIRST_NETWORK + os.getpid() % _NETWORKS
     hosts = hosts_of(site, f'127.{network}.1', options.zones, TARGET_GROUPS)
     plan = plan_of(
-        Spread(site=site, hosts=hosts, length_s=options.length, seed=seed),
+        Spread(site=site, hosts=hosts, length_s=length_s, seed=seed),
         options.day,
     )
     prefix = f'{site.name}-{options.day}-{seed}-'
@@ -54,7 +55,7 @@
         hosts=plan.hosts,
         disruptions=plan.disruptions,
         folder=tempfile.mkdtemp(prefix=prefix, dir=options.keep),
-        length_s=options.length,
+        length_s=length_s,
         rate_ratio=options.rate,
         not_played=plan.not_played,
     )
--- a/tools/site_rig/node_log.py
+++ b/tools/site_rig/node_log.py
@@ -27,6 +27,8 @@
 
 
 def _logged(path: pathlib.Path, attempt: str) -> Iterator[str]:
+    if not path.exists():
+        return
     wanted = (f'"{attempt}"', *_EVENTS)
     with path.open(encoding='utf-8') as log:
         for line in log:
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -133,6 +133,13 @@
             self.start()
             self._is_held = False
 
+    def remove(self) -> None:
+        """Kill it for good."""
+        self._is_held = True
+        self._note(SignalKind.KILL)
+        self.end()
+        self._note_end()
+
     async def revive(self) -> None:
         """Start again whenever the process has ended by itself."""
         while True:
--- a/tools/site_rig/operator_players.py
+++ b/tools/site_rig/operator_players.py
@@ -1,10 +1,17 @@
 """What the operator's process of a run plays, as a table of its players."""
 
+from tools.site_rig.host_player import HostPlayer
 from tools.site_rig.node_player import ConfigurationPlayer, NodePlayer
 from tools.site_rig.player import Player
 from tools.site_rig.stage import Stage
+from tools.site_rig.store_player import StorePlayer
 
-OPERATOR_PLAYERS: tuple[type[Player], ...] = (ConfigurationPlayer, NodePlayer)
+OPERATOR_PLAYERS: tuple[type[Player], ...] = (
+    ConfigurationPlayer,
+    NodePlayer,
+    HostPlayer,
+    StorePlayer,
+)
 
 
 def operator_players(stage: Stage) -> list[Player]:
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -26,7 +26,7 @@
     ),
 )
 # What strikes at the end comes after a change and in the load.
-_CLOSING_BEFORE_END_S = 10.0
+_CLOSING_BEFORE_END_S = 12.0
 _AFTER_CHANGE_S = 0.01
 _CLOSINGS = frozenset(('kill_all', 'power_off_all'))
 
@@ -74,7 +74,12 @@
         rest = entry.hows - word.hows
         if rest:
             self._leave_out(entry.kind, ' '.join(sorted(rest)), entry.at)
-        yield from word.maker(self._spread, entry)
+        if word.lacks:
+            self._leave_out(entry.kind, word.lacks, entry.at)
+        made = list(word.maker(self._spread, entry))
+        if not made:
+            self._leave_out(entry.kind, '(no host for it)', entry.at)
+        yield from made
 
     def _closing(self, closing: Closing) -> Iterator[Disruption]:
         at_s = self._spread.length_s - _CLOSING_BEFORE_END_S
@@ -105,6 +110,13 @@
     return planner.plan(found.entries, found.closing)
 
 
+def length_of(site: Site, day: str, length_s: float) -> float:
+    """Return the length of the load: what strikes at the end comes in it."""
+    if day == MIXED or site.day_named(day).closing is None:
+        return length_s
+    return length_s + _CLOSING_BEFORE_END_S
+
+
 def site_of(site: Site, day: str) -> Site:
     """Return the site with the traffic of a day."""
     if day == MIXED:
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -22,6 +22,8 @@
 _TARGET_PORT = 8301
 _METRICS_PORT = 9464
 _POLL_S = 0.05
+# From the start of a node until it is ready.
+_READY_S = 2.0
 
 
 class Host(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,8 +42,9 @@
     leaves_s: float = 0
 
     def is_there(self, at_s: float) -> bool:
-        """Tell whether it is planned to be there then."""
-        return self.arrives_s <= at_s and not 0 < self.leaves_s <= at_s
+        """Tell whether clients are planned to be beside it."""
+        ready_s = self.arrives_s + _READY_S if self.arrives_s else 0
+        return ready_s <= at_s and not 0 < self.leaves_s <= at_s
 
     def address(self, role: str) -> str:
         """Return the address of a role of the node."""
--- a/tools/site_rig/spread.py
+++ b/tools/site_rig/spread.py
@@ -99,3 +99,5 @@
 
     maker: Maker
     hows: frozenset[str] = frozenset()
+    # What of it can't be played here.
+    lacks: str = ''
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -20,6 +20,8 @@
 _FAILED = 500
 _TOO_LATE = 504
 _OK = 200
+_CONNECTION = 'connection'
+_CLOSE = 'close'
 
 
 class Run(msgspec.Struct, kw_only=True):
@@ -47,9 +49,12 @@
         site: Site,
         records: RecordFile,
         rng: random.Random,
+        number: int = 0,
     ) -> None:
         self.host = host
-        self.instance = f'i-{host.name}'
+        self.instance = f'i-{host.name}-{number}'
+        self.is_leaving = False
+        self.is_down = False
         self.started_ms = int(time.time() * _MS_PER_S)
         self._site = site
         self._service = site.service_named(host.service)
@@ -62,7 +67,7 @@
     async def answer(self, arrival: Arrival) -> Reply:
         """Run one request, or reject it."""
         if arrival.path.startswith('/health'):
-            return self._reply(_OK, '')
+            return self._reply(_FULL if self.is_leaving else _OK, '')
         attempt = arrival.headers.get(NAMES.attempt, '')
         expected = arrival.headers.get(NAMES.expected_instance)
         run = self._run_of(arrival, attempt)
@@ -74,7 +79,8 @@
         try:
             return await self._take(run)
         except asyncio.CancelledError:
-            self._note(run, RunEnd.CUT, 0)
+            end = RunEnd.BROKE_OFF if self.is_down else RunEnd.CUT
+            self._note(run, end, 0)
             raise
         finally:
             self._present -= 1
@@ -160,6 +166,8 @@
             NAMES.instance: self.instance,
             NAMES.load: load,
         }
+        if self.is_leaving:
+            headers[_CONNECTION] = _CLOSE
         return Reply(status=status, headers=headers | (more or {}), body=body)
 
     def _note(self, run: Run, end: RunEnd, status: int) -> None:
--- a/tools/site_rig/target_connection.py
+++ b/tools/site_rig/target_connection.py
@@ -93,3 +93,6 @@
             arrival = await self._arrivals.get()
             reply = await self._app.answer(arrival)
             self._transport.write(reply.encode())
+            if reply.headers.get('connection') == 'close':
+                self._transport.close()
+                return
--- a/tools/site_rig/target_players.py
+++ b/tools/site_rig/target_players.py
@@ -2,8 +2,9 @@
 
 from tools.site_rig.player import Player
 from tools.site_rig.target_group import TargetGroup
+from tools.site_rig.target_life_player import TargetLifePlayer
 
-TARGET_PLAYERS: tuple[type[Player], ...] = ()
+TARGET_PLAYERS: tuple[type[Player], ...] = (TargetLifePlayer,)
 
 
 def target_players(group: TargetGroup) -> list[Player]:
