Play a loss of power in the rig as silence, then a kill

A machine without power answers nothing and refuses nothing; a killed process resets its connections at once. power_off_all, node_kill and herd_kill with power and after_ack_kill stop the process and kill it when it is to start again.

--- /dev/null
+++ b/tests/site_rig/test_node_process.py
@@ -0,0 +1,136 @@
+"""The nodes of the rig as processes: which signals they get."""
+
+import asyncio
+import pathlib
+import signal
+
+import pytest
+
+from tests.site_rig.small_site import small_hosts, small_site
+from tools.site_rig.node_process import NodeProcess
+from tools.site_rig.records import RecordFile, SignalKind, read_records
+
+_MODULE = 'tools.site_rig.node_process'
+
+
+class Process:
+    """Runs until SIGKILL, or SIGTERM if it heeds that."""
+
+    pid = 1
+
+    def __init__(self, *arguments, **options) -> None:
+        self.returncode: int | None = None
+        self.signals: list[signal.Signals] = []
+
+    def poll(self) -> int | None:
+        return self.returncode
+
+    def wait(self) -> int:
+        return self.returncode
+
+    def send_signal(self, sent: signal.Signals) -> None:
+        self.signals.append(sent)
+        if sent in {signal.SIGKILL, signal.SIGTERM}:
+            self.returncode = -sent
+
+    def kill(self) -> None:
+        self.send_signal(signal.SIGKILL)
+
+
+class Stand:
+    """A node whose processes are played."""
+
+    def __init__(self, folder: pathlib.Path, monkeypatch) -> None:
+        self.processes: list[Process] = []
+        self._path = folder / 'signals.jsonl'
+        self._records = RecordFile(path=self._path)
+        monkeypatch.setattr(f'{_MODULE}.subprocess.Popen', self._start)
+        monkeypatch.setattr(f'{_MODULE}._RESTART_S', 0)
+        self.node = NodeProcess(
+            host=small_hosts()[0],
+            store='',
+            folder=folder,
+            code=folder,
+            bounds=small_site().bounds,
+            records=self._records,
+        )
+        self.node.start()
+
+    def kinds(self) -> list[SignalKind]:
+        """Return what was noted after the first start."""
+        self._records.close()
+        return [noted.kind for noted in read_records(self._path)][1:]
+
+    def _start(self, *arguments, **options) -> Process:
+        self.processes.append(Process())
+        return self.processes[-1]
+
+
+@pytest.fixture
+def stand(tmp_path, monkeypatch):
+    return Stand(tmp_path, monkeypatch)
+
+
+END, START = SignalKind.END, SignalKind.START
+
+
+class TestKill:
+    """A node that is killed."""
+
+    # Guards against a kill without a start, or a loss of power with a reset.
+    @pytest.mark.parametrize(
+        ('is_dark', 'sent'),
+        [
+            (False, [signal.SIGKILL]),
+            (True, [signal.SIGSTOP, signal.SIGKILL]),
+        ],
+    )
+    def test_signals(self, stand, is_dark, sent):
+        asyncio.run(stand.node.kill(0, is_dark=is_dark))
+
+        assert stand.processes[0].signals == sent
+        assert len(stand.processes) == 2
+        assert stand.kinds() == [SignalKind.KILL, END, START]
+
+    # Guards against a second process beside one that was just started.
+    def test_killed_twice(self, stand):
+        async def kill_twice() -> None:
+            await asyncio.gather(stand.node.kill(0), stand.node.kill(0))
+
+        asyncio.run(kill_twice())
+
+        assert len(stand.processes) == 2
+
+
+class TestStop:
+    """A node that is stopped."""
+
+    # Guards against a node that comes back although its host is gone.
+    @pytest.mark.parametrize('how', ['stop', 'remove'])
+    def test_for_good(self, stand, how):
+        async def revived() -> None:
+            if how == 'stop':
+                await stand.node.stop()
+            else:
+                stand.node.remove()
+            reviving = asyncio.ensure_future(stand.node.revive())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            reviving.cancel()
+
+        asyncio.run(revived())
+
+        assert len(stand.processes) == 1
+
+    # Guards against a start that looks as if the rig had made it.
+    def test_revival(self, stand):
+        async def revived() -> None:
+            stand.processes[0].returncode = 1
+            reviving = asyncio.ensure_future(stand.node.revive())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            reviving.cancel()
+
+        asyncio.run(revived())
+
+        assert stand.kinds()[:2] == [END, SignalKind.REVIVAL]
--- a/tests/site_rig/test_plans.py
+++ b/tests/site_rig/test_plans.py
@@ -225,6 +225,27 @@
         assert killed.for_s == 0.7
         assert killed.at_s < LENGTH_S - 5
 
+    # Guards against a loss of power that is played as a kill, or a kill as it.
+    @pytest.mark.parametrize(
+        ('entry', 'closing', 'how'),
+        [
+            (PlanEntry(at=1, kind='node_kill'), None, ''),
+            (PlanEntry(at=1, kind='node_kill', how='power'), None, 'dark'),
+            (PlanEntry(at=1, kind='herd_kill', how='off'), None, 'dark'),
+            (PlanEntry(at=1, kind='after_ack_kill'), None, 'dark'),
+            (PlanEntry(at=1, kind='after_ack_kill', how='kill'), None, ''),
+            (None, Closing(kind='kill_all', down_s=1), ''),
+            (None, Closing(kind='power_off_all', down_s=1), 'dark'),
+        ],
+    )
+    def test_power(self, entry, closing, how):
+        plan = planned(*filter(None, (entry,)), closing=closing)
+
+        killed = [
+            made.how for made in plan.disruptions if made.kind == 'node_kill'
+        ]
+        assert set(killed) == {how}
+
     # Guards against another end that is played as one that is known.
     def test_unknown(self):
         plan = planned(closing=Closing(kind='kill_all', down_s=1, how='timed'))
--- a/tools/site_rig/node_player.py
+++ b/tools/site_rig/node_player.py
@@ -55,7 +55,8 @@
 
     async def _kill(self, node, disruption: Disruption) -> None:
         with self._stage.trouble(disruption):
-            await node.kill(disruption.for_s)
+            is_dark = disruption.how == 'dark'
+            await node.kill(disruption.for_s, is_dark=is_dark)
 
     async def _freeze(self, node, disruption: Disruption) -> None:
         with self._stage.trouble(disruption):
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -117,16 +117,19 @@
         self._note_end()
         return True
 
-    async def kill(self, down_s: float) -> None:
+    async def kill(self, down_s: float, *, is_dark: bool = False) -> None:
         """Send SIGKILL, and start again after a time.
 
-        One that is being stopped or is down is started by who stopped it.
+        One that is being stopped or is down is started by who stopped it. If
+        it is dark, its connections are silent until then, as after a loss of
+        power.
         """
         self._note(SignalKind.KILL)
-        self.send(signal.SIGKILL)
+        self.send(signal.SIGSTOP if is_dark else signal.SIGKILL)
         is_held = self._is_held
         self._is_held = True
         await asyncio.sleep(down_s)
+        self.send(signal.SIGKILL)
         if not is_held:
             self.end()
             self._note_end()
--- a/tools/site_rig/node_words.py
+++ b/tools/site_rig/node_words.py
@@ -44,7 +44,11 @@
     down_s = (entry.for_s or _USUAL_S) if is_dark else _DOWN_S
     for host in spread.machines(entry, 0.6 if _is_herd(entry) else 0.1):
         yield Disruption(
-            at_s=entry.at, kind='node_kill', host=host.name, for_s=down_s
+            at_s=entry.at,
+            kind='node_kill',
+            host=host.name,
+            how='dark' if is_dark else '',
+            for_s=down_s,
         )
 
 
@@ -58,6 +62,7 @@
             at_s=entry.at + spread.rng.uniform(*span),
             kind='node_kill',
             host=host.name,
+            how='' if is_kill else 'dark',
             for_s=down_s,
         )
 
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -93,6 +93,7 @@
                 at_s=at_s + _AFTER_CHANGE_S,
                 kind='node_kill',
                 host=host.name,
+                how='dark' if closing.kind == 'power_off_all' else '',
                 for_s=closing.down_s,
             )
 
