--- a/tools/site_rig/target_words.py
+++ b/tools/site_rig/host_words.py
@@ -127,7 +127,7 @@
     )
 
 
-TARGET_WORDS = MappingProxyType(
+HOST_WORDS = MappingProxyType(
     {
         'release': Word(maker=_release),
         'scale_in': Word(maker=_scale_in, hows=frozenset(('stay',))),
--- a/tools/site_rig/store_words.py
+++ b/tools/site_rig/store_words.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
+from tools.site_rig.host_words import leaving
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
-from tools.site_rig.target_words import leaving
 
 _USUAL_S = 5.0
 _SLOW_RATIO = 50.0
