--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -41,8 +41,11 @@
     TERM = 'SIGTERM'
     HUP = 'SIGHUP'
     CONFIGURATION = 'configuration'
+    KILL = 'SIGKILL'
     START = 'start'
     END = 'end'
+    # It ended by itself and is about to start again.
+    REVIVAL = 'revival'
     # A process that used more memory than it has was killed: an own end.
     OVER_MEMORY = 'over memory'
     # Trouble of targets or clients; it excuses nothing.
@@ -120,7 +123,26 @@
     detail: str = ''
 
 
-Record = RequestRecord | RunRecord | MemoryRecord | LagRecord | SignalRecord
+class TroubleRecord(
+    msgspec.Struct, frozen=True, kw_only=True, tag='trouble', omit_defaults=True
+):
+    """An unplanned disruption of a machine, or of its target alone."""
+
+    host: str
+    kind: str
+    from_s: float
+    until_s: float
+    is_of_target: bool = False
+
+
+Record = (
+    RequestRecord
+    | RunRecord
+    | MemoryRecord
+    | LagRecord
+    | SignalRecord
+    | TroubleRecord
+)
 
 
 class RecordFile:
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -1,5 +1,6 @@
 """What all processes of a run share: hosts, disruptions, the clock."""
 
+import asyncio
 import pathlib
 from types import MappingProxyType
 
@@ -20,6 +21,7 @@
 )
 _TARGET_PORT = 8301
 _METRICS_PORT = 9464
+_POLL_S = 0.05
 
 
 class Host(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,7 +36,13 @@
     memory_mb: float
     group: int
     fds: int = 4100
-    link_mbps: float = 1000
+    # Seconds after the start of the load; 0 is from the start, and for ever.
+    arrives_s: float = 0
+    leaves_s: float = 0
+
+    def is_there(self, at_s: float) -> bool:
+        """Tell whether it is planned to be there then."""
+        return self.arrives_s <= at_s and not 0 < self.leaves_s <= at_s
 
     def address(self, role: str) -> str:
         """Return the address of a role of the node."""
@@ -61,25 +69,25 @@
 
 
 class Disruption(msgspec.Struct, frozen=True, kw_only=True):
-    """Planned work or trouble at a time after the start of the load."""
+    """What happens to one host, or to all, after the start of the load.
+
+    ``ratio`` (``x`` in a site file) and ``for_s`` mean what they mean for the
+    word that it comes from, or what its maker says.
+    """
 
     at_s: float
     kind: str
     host: str = ''
     how: str = ''
-    # A burst of requests meets the signal.
-    is_busy: bool = False
-    idle_limit_s: float = 0
-    # How strong it is, how many it strikes and how long it lasts.
-    strength: float = 0
-    share: float = 1
+    ratio: float = 0
     for_s: float = 0
+    # Part of the clients that a word is about, and where they are or go.
+    share: float = 1
     zone: str = ''
     to_zone: str = ''
-
-    def lasts_at(self, load_s: float) -> bool:
-        """Tell whether it goes on at a time after the start of the load."""
-        return self.at_s <= load_s < self.at_s + self.for_s
+    # A burst of requests meets the signal.
+    is_busy: bool = False
+    idle_limit_s: float = 0
 
 
 class Scene(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,6 +101,8 @@
     length_s: float
     rate_ratio: float
     began_s: float = 0
+    # Words of the day that the rig leaves out.
+    not_played: tuple[str, ...] = ()
 
     def host_named(self, name: str) -> Host:
         """Return a host."""
@@ -103,9 +113,30 @@
         """Return the end of the load."""
         return self.began_s + self.length_s
 
+    @property
+    def first_hosts(self) -> tuple[Host, ...]:
+        """Return the hosts that are there from the start."""
+        return tuple(host for host in self.hosts if not host.arrives_s)
+
     def write(self, path: pathlib.Path) -> None:
         """Write it for the other processes."""
-        path.write_bytes(msgspec.json.encode(self))
+        written = path.with_suffix('.new')
+        written.write_bytes(msgspec.json.encode(self))
+        written.replace(path)
+
+    def begin(self) -> None:
+        """Tell the processes that run already when the load begins."""
+        self.write(self._begun_path)
+
+    async def begun(self) -> 'Scene':
+        """Wait until it is known when the load begins."""
+        while not self._begun_path.exists():
+            await asyncio.sleep(_POLL_S)
+        return read_scene(self._begun_path)
+
+    @property
+    def _begun_path(self) -> pathlib.Path:
+        return pathlib.Path(self.folder) / 'begun.json'
 
 
 def read_scene(path: pathlib.Path) -> Scene:
@@ -139,7 +170,6 @@
                 speed=speeds[of_service % len(speeds)],
                 memory_mb=machines.memory_mb,
                 fds=machines.fds,
-                link_mbps=machines.link_mbps,
                 group=number % groups,
             )
         )
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -59,7 +59,7 @@
         self._service = site.service_named(host.service)
         self._records = records
         self._rng = rng
-        self._troubles = troubles
+        self.troubles = troubles
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
         self._caller = Caller(host=host, records=records, rng=rng)
@@ -75,7 +75,7 @@
             return self._reject(run, _WRONG_TARGET)
         if self._present >= self._service.slots + self._service.queue:
             return self._reject(run, _FULL)
-        if self._troubles.sheds():
+        if self.troubles.sheds():
             return self._reject(run, _FULL)
         self._present += 1
         try:
@@ -88,7 +88,7 @@
 
     def reject_early(self, arrival: Arrival) -> Reply | None:
         """Reject a long request before it is in, if it is time for that."""
-        if not self._troubles.rejects_early():
+        if not self.troubles.rejects_early():
             return None
         attempt = arrival.headers.get(NAMES.attempt, '')
         return self._reject(self._run_of(arrival, attempt), _FULL)
@@ -102,7 +102,7 @@
                 status = await asyncio.wait_for(self._work(run), run.left_s)
             except TimeoutError:
                 status = _TOO_LATE
-        way = self._troubles.way()
+        way = self.troubles.way()
         self._note(run, WAYS[way].end, status)
         size = int(run.kind.resp_bytes.draw(self._rng))
         return self._reply(status, run.attempt, body=b'x' * size, way=way)
@@ -110,7 +110,7 @@
     async def _work(self, run: Run) -> int:
         """Work, call in the middle, and return the status."""
         work_ms = run.kind.work_ms.draw(self._rng) / self.host.speed
-        work_ms *= self._troubles.slowness
+        work_ms *= self.troubles.slowness
         part_s = work_ms / _MS_PER_S / _PARTS_OF_WORK
         await asyncio.sleep(part_s)
         for rule in run.kind.calls:
@@ -118,7 +118,7 @@
                 return _FAILED
         await asyncio.sleep(part_s)
         is_failing = self._rng.random() < run.kind.error_share
-        return _FAILED if is_failing or self._troubles.fails() else _OK
+        return _FAILED if is_failing or self.troubles.fails() else _OK
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
