Merge the rig's unplanned disruptions; judge them at any time too

What a disruption excuses beside a SIGHUP or a configuration may still count at any time: a machine that was in touch when it passed a request on and when it closed.

--- a/tools/site_rig/cut_rates.py
+++ b/tools/site_rig/cut_rates.py
@@ -6,11 +6,9 @@
 import msgspec
 
 from tools.site_rig.cases import Case, Excuse, Finding, Limits, Occasion
+from tools.site_rig.occasions import is_near_configuration
 from tools.site_rig.records import Outcome
-from tools.site_rig.rule_lost import (
-    is_near_configuration,
-    judge_at_any_time,
-)
+from tools.site_rig.rule_lost import judge_at_any_time
 
 _RAISED_RATIO = 3
 
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -44,7 +44,7 @@
     KILL = 'SIGKILL'
     START = 'start'
     END = 'end'
-    # It ended by itself and is about to start again.
+    # It had ended by itself.
     REVIVAL = 'revival'
     # A process that used more memory than it has was killed: an own end.
     OVER_MEMORY = 'over memory'
--- a/tools/site_rig/rule_lost.py
+++ b/tools/site_rig/rule_lost.py
@@ -8,10 +8,9 @@
 """
 
 from tools.site_rig.cases import Case, Excuse, Finding, Limits, Occasion
+from tools.site_rig.occasions import is_near_term, occasion_of
 from tools.site_rig.records import Outcome, SignalKind
 
-_AFTER_GRACE_S = 1.0
-_AFTER_CONFIGURATION_S = 1.0
 _LAST_PART_OF_GRACE = 1 / 6
 _SENT_EARLY_S = 3.0
 _USED_MOST = 0.7
@@ -19,7 +18,7 @@
 
 def judge(case: Case, limits: Limits) -> Finding:
     """Return what the rule says; the strictest occasion comes first."""
-    finding = _judge_on(_occasion(case, limits), case, limits)
+    finding = _judge_on(occasion_of(case, limits), case, limits)
     if finding.counts or finding.occasion not in _IN_TOUCH:
         return finding
     return judge_at_any_time(finding, limits)
@@ -42,43 +41,13 @@
     )
 
 
-def _occasion(case: Case, limits: Limits) -> Occasion:
-    near = (name for name, check in _OCCASIONS if check(case, limits))
-    return next(near, Occasion.ANY_TIME)
-
-
-def _is_near_term(case: Case, limits: Limits) -> bool:
-    last_s = limits.grace_s + _AFTER_GRACE_S
-    return any(
-        0 <= case.request.ended_s - at_s <= last_s
-        for at_s in case.times(SignalKind.TERM)
-    )
-
-
-def _is_near_hup(case: Case, limits: Limits) -> bool:
-    request = case.request
-    return any(
-        at_s <= request.ended_s and request.sent_s <= at_s + limits.apply_s
-        for at_s in case.times(SignalKind.HUP)
-    )
-
-
-def is_near_configuration(case: Case, limits: Limits) -> bool:
-    """Tell whether a request ended beside a configuration."""
-    last_s = limits.apply_s + _AFTER_CONFIGURATION_S
-    return any(
-        0 <= case.request.ended_s - at_s <= last_s
-        for at_s in case.times(SignalKind.CONFIGURATION)
-    )
-
-
 def _is_not_lost(case: Case, limits: Limits) -> bool:
     request = case.request
     if request.outcome is Outcome.ENDED:
         return False
     if request.outcome is not Outcome.ANSWERED or request.is_signed:
         return True
-    is_near = _is_near_term(case, limits)
+    is_near = is_near_term(case, limits)
     return not (is_near and case.is_at_work(request.ended_s))
 
 
@@ -110,6 +79,27 @@
     )
 
 
+def _was_disrupted(case: Case, limits: Limits) -> bool:
+    request = case.request
+    return case.is_disrupted(request.began_s - limits.stable_s, request.ended_s)
+
+
+def _was_out_of_touch(case: Case, limits: Limits) -> bool:
+    moments = [case.request.ended_s]
+    moments.extend(run.arrived_s for run in case.passed_on)
+    return not all(_is_in_touch(case, at_s, limits) for at_s in moments)
+
+
+def _is_in_touch(case: Case, at_s: float, limits: Limits) -> bool:
+    """Tell whether the machine was; the store alone excuses nothing."""
+    from_s = at_s - limits.stable_s
+    is_started = any(
+        from_s <= started_s <= at_s
+        for started_s in case.times(SignalKind.START)
+    )
+    return not is_started and not case.is_disrupted(from_s, at_s)
+
+
 def _used_most(case: Case, limits: Limits) -> bool:
     request = case.request
     used_s = request.ended_s - request.began_s
@@ -120,13 +110,8 @@
     return not case.is_passed_on
 
 
-_OCCASIONS = (
-    (Occasion.TERM, _is_near_term),
-    (Occasion.HUP, _is_near_hup),
-    (Occasion.CONFIGURATION, is_near_configuration),
-)
 _ALL = tuple(Occasion)
-_PLANNED = (Occasion.TERM, Occasion.HUP, Occasion.CONFIGURATION)
+_PLANNED = tuple(set(Occasion) - {Occasion.ANY_TIME})
 _IN_TOUCH = (Occasion.HUP, Occasion.CONFIGURATION)
 _EXCUSES = (
     (Excuse.NOT_LOST, _is_not_lost, _ALL),
@@ -137,4 +122,6 @@
     (Excuse.LATE_WORK, _was_late_work, (Occasion.TERM,)),
     (Excuse.USED_MOST, _used_most, (Occasion.CONFIGURATION,)),
     (Excuse.CROSSED, _is_not_passed_on, (Occasion.ANY_TIME,)),
+    (Excuse.DISRUPTED, _was_disrupted, _PLANNED),
+    (Excuse.OUT_OF_TOUCH, _was_out_of_touch, (Occasion.ANY_TIME,)),
 )
