--- a/tools/site_rig/caller.py
+++ b/tools/site_rig/caller.py
@@ -2,62 +2,41 @@
 
 import asyncio
 import random
+import socket
 import time
 
-import msgspec
-
-from fescueknot.platform.headers import PLATFORM_HEADERS
-from tools.site_rig.exchanges import CallerConnection, Exchange
+from tools.site_rig.caller_connection import CallerConnection
+from tools.site_rig.exchanges import Exchange
+from tools.site_rig.manners import USUAL, Manner
+from tools.site_rig.orders import Order
 from tools.site_rig.records import Outcome, RecordFile, RequestRecord
-from tools.site_rig.scene import ROUTE_HOST, Host
+from tools.site_rig.scene import Host
 
 _CONNECT_TIMEOUT_S = 1.0
-_MS_PER_S = 1000
 _MOST_IN_PIPELINE = 3
-# A caller hears of a deadline a little after the node.
-_PATIENCE_S = 0.1
 _NEWEST_SHARE = 0.5
-
-
-class Order(msgspec.Struct, frozen=True, kw_only=True):
-    """A request to send; ``limit_ms`` is the time limit of its route."""
-
-    attempt: str
-    method: str
-    path: str
-    deadline_ms: int
-    limit_ms: float
-    body: bytes = b''
-    is_pipelined: bool = False
-    is_on_new_connection: bool = False
-
-    @property
-    def wait_s(self) -> float:
-        """Return how long the caller waits; the answer is on its way."""
-        return self.deadline_ms / _MS_PER_S + _PATIENCE_S
-
-    def head(self) -> bytes:
-        """Return the bytes before the body."""
-        return (
-            f'{self.method} {self.path} HTTP/1.1\r\n'
-            f'host: {ROUTE_HOST}\r\n'
-            f'{PLATFORM_HEADERS.attempt}: {self.attempt}\r\n'
-            f'{PLATFORM_HEADERS.remaining_ms}: '
-            f'{self.deadline_ms}\r\n'
-            f'content-length: {len(self.body)}\r\n\r\n'
-        ).encode()
+# So that a slow reader holds up the sender of a larger answer.
+_SMALL_BUFFER_BYTES = 4096
 
 
 class Caller:
     """Sends requests to one node, over as many connections as needed."""
 
     def __init__(
-        self, *, host: Host, records: RecordFile, rng: random.Random
+        self,
+        *,
+        host: Host,
+        records: RecordFile,
+        rng: random.Random,
+        manner: Manner = USUAL,
+        delay_s: float = 0,
     ) -> None:
         self.host = host
         self.idle_limit_s = float('inf')
         self._records = records
         self._rng = rng
+        self._manner = manner
+        self._delay_s = delay_s
         self._connections: list[CallerConnection] = []
 
     async def send(self, order: Order) -> Exchange:
@@ -67,10 +46,9 @@
             connection = await self._connection(order)
         except OSError:
             exchange.began_s = time.monotonic()
-            exchange.sent_s = exchange.began_s
             exchange.end(Outcome.REFUSED)
             return exchange
-        connection.send(exchange, order.head(), order.body)
+        connection.send(exchange, order.head(self._manner), order.body)
         try:
             await exchange.wait(order.wait_s)
         except TimeoutError:
@@ -79,7 +57,8 @@
             connection.close()
             raise
         finally:
-            self._note(order, exchange)
+            record = record_of(order, exchange, self.host, self._manner)
+            self._records.add(record)
         return exchange
 
     async def open(self) -> None:
@@ -89,30 +68,59 @@
         except OSError:
             return
 
+    def close(self) -> None:
+        """Close all connections."""
+        for ended in self._connections:
+            ended.close()
+
     async def _connection(self, order: Order) -> CallerConnection:
         self._forget_unusable()
         found = [
             connection
             for connection in self._connections
-            if connection.waiting < _limit(order)
+            if connection.takes_more and connection.waiting < _limit(order)
         ]
         if order.is_on_new_connection or not found:
             return await self._new_connection()
-        found.sort(key=CallerConnection.order)
+        found.sort(key=_order)
         is_newest = self._rng.random() < _NEWEST_SHARE
         return found[-1] if is_newest else found[0]
 
     async def _new_connection(self) -> CallerConnection:
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            connection = await self._connect()
+        self._connections.append(connection)
+        return connection
+
+    async def _connect(self) -> CallerConnection:
         loop = asyncio.get_running_loop()
-        opening = loop.create_connection(
-            CallerConnection, self.host.ip, self.host.port('callers')
+        # The opening takes a way there and back.
+        await asyncio.sleep(2 * self._delay_s)
+        own_socket = socket.socket()
+        own_socket.setblocking(False)
+        if self._manner.read_pause_s:
+            own_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+            )
+        address = (self.host.ip, self.host.port('callers'))
+        try:
+            await loop.sock_connect(own_socket, address)
+        except BaseException:
+            own_socket.close()
+            raise
+        _, connection = await loop.create_connection(
+            self._make_connection, sock=own_socket
         )
-        _, connection = await asyncio.wait_for(opening, _CONNECT_TIMEOUT_S)
-        self._connections.append(connection)
         return connection
 
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(manner=self._manner, delay_s=self._delay_s)
+
     def _forget_unusable(self) -> None:
         oldest_s = time.monotonic() - self.idle_limit_s
+        for ended in self._connections:
+            if not ended.is_usable and not ended.waiting:
+                ended.close()
         self._connections = [
             connection
             for connection in self._connections
@@ -120,23 +128,31 @@
             and (connection.waiting or connection.idle_since_s > oldest_s)
         ]
 
-    def _note(self, order: Order, exchange: Exchange) -> None:
-        self._records.add(
-            RequestRecord(
-                attempt=order.attempt,
-                host=self.host.name,
-                began_s=exchange.began_s,
-                sent_s=exchange.sent_s,
-                ended_s=exchange.ended_s,
-                outcome=exchange.outcome,
-                time_left_s=min(order.deadline_ms, order.limit_ms) / _MS_PER_S,
-                status=exchange.status,
-                is_signed=exchange.is_signed,
-                is_behind=exchange.is_behind,
-                is_kept=exchange.is_kept,
-                is_reset=exchange.is_reset,
-            )
-        )
+
+def record_of(
+    order: Order, exchange: Exchange, host: Host, manner: Manner
+) -> RequestRecord:
+    """Return the record of a request that has ended."""
+    return RequestRecord(
+        attempt=order.attempt,
+        host=host.name,
+        began_s=exchange.began_s,
+        sent_s=exchange.sent_s,
+        ended_s=exchange.ended_s,
+        outcome=exchange.outcome,
+        time_left_s=order.time_left_s,
+        status=exchange.answer.status,
+        is_signed=exchange.answer.is_signed,
+        is_behind=exchange.is_behind,
+        is_kept=exchange.is_kept,
+        is_reset=exchange.is_reset,
+        manner=manner.name,
+    )
+
+
+def _order(connection: CallerConnection) -> tuple[int, float]:
+    """Return a key that puts the connection used last at the end."""
+    return connection.waiting, connection.idle_since_s
 
 
 def _limit(order: Order) -> int:
--- a/tools/site_rig/clients.py
+++ b/tools/site_rig/clients.py
@@ -8,73 +8,22 @@
 import time
 from types import MappingProxyType
 
-from tools.site_rig.caller import Caller, Order
-from tools.site_rig.exchanges import Exchange
+from tools.site_rig.client import Client
+from tools.site_rig.client_player import ClientPlayer
+from tools.site_rig.client_troubles import ClientTroubles
+from tools.site_rig.manners import manner_of
 from tools.site_rig.member import Member
-from tools.site_rig.records import Outcome
-from tools.site_rig.scene import Disruption, Host
+from tools.site_rig.player import play_all
+from tools.site_rig.scene import Disruption
 from tools.site_rig.site import RequestClass, Traffic
 
-_MS_PER_S = 1000
-_SPARE_CONNECTIONS = 2
-_IDLE_SHARE = 0.8
-_RETRIES = 1
-_LEAST_LEFT_S = 0.05
-_RETRIED_STATUSES = frozenset((408, 421, 429, 503))
 # Requests that are sent at once.
 _LENGTHS = MappingProxyType({'pool': (1,), 'pipeline': (1, 2, 3)})
+_PIPELINED = (3,)
 _BURST = 6
 _BURST_SPAN_S = 0.3
 
 
-class Client:
-    """One client of a host."""
-
-    def __init__(
-        self, *, host: Host, member: Member, rng: random.Random
-    ) -> None:
-        self.host = host
-        self._callers = {
-            habit: Caller(host=host, records=member.records, rng=rng)
-            for habit in ('pool', 'pipeline')
-        }
-        self._rng = rng
-
-    async def open(self) -> None:
-        """Open connections that are used later."""
-        for caller in self._callers.values():
-            for _ in range(_SPARE_CONNECTIONS):
-                await caller.open()
-
-    def set_idle_limit(self, limit_s: float) -> None:
-        """Reuse connections that have been idle for less."""
-        for caller in self._callers.values():
-            caller.idle_limit_s = _IDLE_SHARE * limit_s
-
-    async def request(self, kind: RequestClass, attempt: str) -> None:
-        """Send a request, and again what may be sent again."""
-        ends_s = time.monotonic() + kind.deadline_ms / _MS_PER_S
-        body = b'x' * int(kind.req_bytes.draw(self._rng))
-        for number in range(1 + _RETRIES):
-            left_s = ends_s - time.monotonic()
-            if left_s < _LEAST_LEFT_S:
-                return
-            order = Order(
-                attempt=f'{attempt}-{number}',
-                method=kind.method,
-                path=f'/{kind.name}/{attempt}',
-                deadline_ms=int(left_s * _MS_PER_S),
-                limit_ms=kind.limit_ms,
-                body=body,
-                is_pipelined=kind.habit == 'pipeline',
-                is_on_new_connection=number > 0,
-            )
-            exchange = await self._callers[kind.habit].send(order)
-            if not _is_sent_again(kind, exchange):
-                return
-            await asyncio.sleep(min(exchange.retry_after_s, left_s / 3))
-
-
 class Clients:
     """The clients of one failure domain."""
 
@@ -82,16 +31,12 @@
         scene = member.scene
         seed = f'{scene.seed} {traffic.zone}'
         self._rng = random.Random(seed)  # noqa: S311
-        self._scene = scene
+        self._member = member
         self._traffic = traffic
         self._numbers = itertools.count()
-        hosts = [host for host in scene.hosts if host.zone == traffic.zone]
-        self._clients = [
-            Client(host=host, member=member, rng=self._rng)
-            for host, _ in zip(
-                itertools.cycle(hosts), range(traffic.clients), strict=False
-            )
-        ]
+        self._troubles = ClientTroubles(zone=traffic.zone, rng=self._rng)
+        zones = {host.zone: None for host in scene.hosts}
+        self._clients = {zone: self._clients_of(zone) for zone in zones}
         self._kinds = [scene.site.class_named(name) for name in traffic.mix]
         self._weights = [
             traffic.mix[kind.name] / _mean_length(kind) for kind in self._kinds
@@ -100,46 +45,85 @@
 
     async def run(self) -> None:
         """Send requests from the start of the load to its end."""
-        await asyncio.sleep(self._scene.began_s - time.monotonic())
-        for client in self._clients:
+        scene = self._member.scene
+        await asyncio.sleep(scene.began_s - time.monotonic())
+        for client in self._clients[self._traffic.zone]:
             self._start(client.open())
-        for disruption in self._scene.disruptions:
+        for disruption in scene.disruptions:
             self._start(self._meet(disruption))
+        player = ClientPlayer(
+            troubles=self._troubles, records=self._member.records
+        )
+        playing = asyncio.ensure_future(play_all(scene, (player,)))
         await self._load()
+        playing.cancel()
         await asyncio.gather(*self._requests)
 
+    def _clients_of(self, zone: str) -> list[Client]:
+        """Return as many clients as there are, at the hosts of a domain."""
+        scene = self._member.scene
+        hosts = [host for host in scene.hosts if host.zone == zone]
+        count = self._traffic.clients
+        return [
+            Client(
+                host=host,
+                member=self._member,
+                rng=self._rng,
+                troubles=self._troubles,
+                manner=manner_of(number, scene.odd_share),
+                place=number / count,
+            )
+            for number, host in zip(
+                range(count), itertools.cycle(hosts), strict=False
+            )
+        ]
+
     async def _load(self) -> None:
         due_s = time.monotonic()
-        while due_s < self._scene.ends_s:
+        while due_s < self._member.scene.ends_s:
             due_s += self._rng.expovariate(self._rate_per_s(due_s))
             await asyncio.sleep(due_s - time.monotonic())
             kind = self._rng.choices(self._kinds, self._weights)[0]
-            self._send(self._rng.choice(self._clients), kind)
+            self._send(self._rng.choice(self._present()), kind)
+
+    def _present(self) -> list[Client]:
+        """Return the clients whose machine is there."""
+        shift = self._troubles.shift
+        zone = shift.to_zone if shift else self._traffic.zone
+        at_s = time.monotonic() - self._member.scene.began_s
+        return [
+            client
+            for client in self._clients[zone]
+            if client.host.is_there(at_s)
+        ]
 
     def _rate_per_s(self, now_s: float) -> float:
-        shape = self._traffic.shape
-        turn = (now_s - self._scene.began_s) / shape.period_s + shape.phase
+        shape, scene = self._traffic.shape, self._member.scene
+        turn = (now_s - scene.began_s) / shape.period_s + shape.phase
         wave = 1 + shape.swing * math.sin(math.tau * turn)
-        return self._traffic.per_s * self._scene.rate_ratio * wave
+        ratio = scene.rate_ratio * self._troubles.rate_ratio
+        return self._traffic.per_s * ratio * wave
 
     def _send(self, client: Client, kind: RequestClass) -> None:
-        for _ in range(self._rng.choice(_LENGTHS[kind.habit])):
+        lengths = _LENGTHS[kind.habit]
+        if client.manner.is_pipelined:
+            lengths = _PIPELINED
+        for _ in range(self._rng.choice(lengths)):
             name = f'{self._traffic.zone}-{next(self._numbers)}'
             self._start(client.request(kind, name))
 
     async def _meet(self, disruption: Disruption) -> None:
         """Follow an idle limit; press a host that is about to stop."""
-        at_s = self._scene.began_s + disruption.at_s
+        at_s = self._member.scene.began_s + disruption.at_s
+        clients = self._clients[self._traffic.zone]
         if disruption.idle_limit_s:
             await asyncio.sleep(at_s - time.monotonic())
-            for client in self._clients:
+            for client in clients:
                 client.set_idle_limit(disruption.idle_limit_s)
         if not disruption.is_busy:
             return
         await asyncio.sleep(at_s - _BURST_SPAN_S - time.monotonic())
-        beside = [
-            near for near in self._clients if near.host.name == disruption.host
-        ]
+        beside = [near for near in clients if near.host.name == disruption.host]
         for pressing in beside * _BURST:
             self._send(pressing, self._rng.choice(self._kinds))
             await asyncio.sleep(_BURST_SPAN_S / (_BURST * len(beside)))
@@ -152,11 +136,3 @@
 
 def _mean_length(kind: RequestClass) -> float:
     return statistics.mean(_LENGTHS[kind.habit])
-
-
-def _is_sent_again(kind: RequestClass, exchange: Exchange) -> bool:
-    if exchange.outcome is Outcome.ANSWERED:
-        is_retried = exchange.status in _RETRIED_STATUSES
-        is_failed = exchange.status >= 500
-        return is_retried or (is_failed and kind.is_idempotent)
-    return kind.is_idempotent and exchange.outcome is Outcome.ENDED
--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -28,7 +28,7 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--length', type=float, default=32)
     parser.add_argument('--zones', type=int, default=0, help='0 for all')
-    parser.add_argument('--rate', type=float, default=1)
+    _add_shares(parser)
     parser.add_argument(
         '--code',
         type=pathlib.Path,
@@ -39,6 +39,13 @@
     return parser.parse_args()
 
 
+def _add_shares(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--odd', type=float, default=0, help='share of the odd clients'
+    )
+    parser.add_argument('--rate', type=float, default=1)
+
+
 def _scene(options: argparse.Namespace, seed: int) -> Scene:
     site = site_of(load_site(options.site), options.day)
     network = _FIRST_NETWORK + os.getpid() % _NETWORKS
@@ -56,6 +63,7 @@
         folder=tempfile.mkdtemp(prefix=prefix, dir=options.keep),
         length_s=options.length,
         rate_ratio=options.rate,
+        odd_share=options.odd,
         not_played=plan.not_played,
     )
 
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -28,7 +28,12 @@
         for number in range(20)
     ),
 )
-_ENDLESS = PlanEntry(at=2, kind='endless', for_s=40)
+_ENDLESS = PlanEntry(at=2, kind='endless', ratio=0.1, for_s=40)
+_ALL_ENDLESS = (
+    _ENDLESS,
+    msgspec.structs.replace(_ENDLESS, how='length', ratio=0.2),
+    msgspec.structs.replace(_ENDLESS, how='chunks', ratio=0.2),
+)
 _ODD_TARGETS = (
     PlanEntry(at=2, kind='garble', for_s=30),
     PlanEntry(at=4, kind='garble', how='extra', for_s=8),
@@ -47,16 +52,20 @@
     {
         MIXED: _MIXED_PLAN,
         'calm': (),
-        'endless': (_ENDLESS,),
+        'endless': _ALL_ENDLESS,
         **{
             endless_way(name): (
                 msgspec.structs.replace(_ENDLESS, how=name, ratio=0.5),
             )
             for name in ENDLESS
         },
-        'mixed+endless': (*_MIXED_PLAN, _ENDLESS),
+        'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
         'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
-        'mixed+targets+endless': (*_MIXED_PLAN, *_ODD_TARGETS, _ENDLESS),
+        'mixed+targets+endless': (
+            *_MIXED_PLAN,
+            *_ODD_TARGETS,
+            *_ALL_ENDLESS,
+        ),
     }
 )
 # What strikes at the end comes after a change and in the load.
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -77,6 +77,8 @@
     is_reset: bool = False
     # The longest time that the caller's loop stood still meanwhile.
     lag_s: float = 0
+    # How its client used the connection, '' for the usual manner.
+    manner: str = ''
 
     @property
     def lasted_s(self) -> float:
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -30,18 +30,30 @@
     sure = sum(_is_sure(finding, limits) for finding in lost)
     print(f'{label}: {len(lost)} LOST, {sure} of them whatever the lag')
     _print_figures(records)
-    occasions = _counts(finding.occasion for finding in lost)
-    print(f'  lost at {occasions}')
+    _print_lost(lost)
     excuses = (finding.excuse for finding in findings if not finding.counts)
     print(f'  excused {_counts(excuses)}')
+    _print_not_played(scene)
+    _print_cases(lost, folder)
+    return len(lost)
+
+
+def _print_lost(lost: list[Finding]) -> None:
+    """Print in how many ways requests were lost."""
+    occasions = _counts(finding.occasion for finding in lost)
+    manners = _counts(finding.case.request.manner for finding in lost)
+    kept = sum(finding.case.request.is_kept for finding in lost)
+    print(f'  lost at {occasions}')
+    print(f'  lost of manners {manners}, on kept connections {kept}')
     at_any_time = occasions.get(str(Occasion.ANY_TIME), 0)
     if 0 < at_any_time <= _MOST_AT_ANY_TIME:
         print(f'  at any time {at_any_time}: as many as allowed')
-    _print_not_played(scene)
+
+
+def _print_cases(lost: list[Finding], folder: pathlib.Path) -> None:
     for finding in lost:
         print(f'  {describe(finding)}')
         _print_lines(finding.case, folder)
-    return len(lost)
 
 
 def describe(finding: Finding) -> str:
@@ -55,7 +67,7 @@
         f'{_after_term(finding)} ({request.sent_s:.3f})',
         f'lasted {request.lasted_s:.3f} s of {request.time_left_s:.2f}',
         f'lag {request.lag_s:.3f} {_came_back(request)}',
-        f'kept {request.is_kept} behind {request.is_behind}',
+        f'kept {request.is_kept} behind {request.is_behind} {request.manner}',
         f'runs [{runs}]',
     )
     return ', '.join(parts)
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -100,6 +100,8 @@
     folder: str
     length_s: float
     rate_ratio: float
+    # Part of the clients that use their connections oddly.
+    odd_share: float = 0
     began_s: float = 0
     # Words of the day that the rig leaves out.
     not_played: tuple[str, ...] = ()
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -177,6 +177,12 @@
         return self.plan + self.faults
 
 
+class Net(msgspec.Struct, frozen=True, kw_only=True):
+    """Delays of links, one way."""
+
+    client_ms: float = 0
+
+
 class Site(msgspec.Struct, frozen=True, kw_only=True):
     """A site file."""
 
@@ -188,6 +194,7 @@
     classes: tuple[RequestClass, ...]
     traffic: tuple[Traffic, ...]
     bounds: Bounds
+    net: Net = Net()
     day: tuple[Day, ...]
 
     def class_named(self, name: str) -> RequestClass:
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -8,7 +8,8 @@
 
 from fescueknot.platform.headers import PLATFORM_HEADERS as NAMES
 from tools.site_rig.answer_ways import PLAIN, WAYS
-from tools.site_rig.caller import Caller, Order
+from tools.site_rig.caller import Caller
+from tools.site_rig.orders import Order
 from tools.site_rig.records import Outcome, RecordFile, RunEnd, RunRecord
 from tools.site_rig.replies import Reply
 from tools.site_rig.scene import Host
@@ -143,7 +144,7 @@
             )
         )
         is_answered = exchange.outcome is Outcome.ANSWERED
-        return is_answered and exchange.status == _OK
+        return is_answered and exchange.answer.status == _OK
 
     def _run_of(self, arrival: Arrival, attempt: str) -> Run:
         kind = self._site.class_named(arrival.path.split('/')[1])
--- a/tools/site_rig/words.py
+++ b/tools/site_rig/words.py
@@ -5,11 +5,12 @@
 
 from types import MappingProxyType
 
+from tools.site_rig.client_words import CLIENT_WORDS
 from tools.site_rig.configuration_words import CONFIGURATION_WORDS
 from tools.site_rig.node_words import NODE_WORDS
 from tools.site_rig.spread import Word
 from tools.site_rig.target_words import TARGET_WORDS
 
 WORDS: MappingProxyType[str, Word] = MappingProxyType(
-    {**CONFIGURATION_WORDS, **NODE_WORDS, **TARGET_WORDS}
+    {**CONFIGURATION_WORDS, **NODE_WORDS, **TARGET_WORDS, **CLIENT_WORDS}
 )
