--- a/tools/site_rig/cases.py
+++ b/tools/site_rig/cases.py
@@ -64,8 +64,16 @@
 
     @property
     def is_passed_on(self) -> bool:
-        """Tell whether it reached a target that did not reject it."""
-        return bool(self.passed_on)
+        """Tell whether it reached a target, also one that rejected it."""
+        return bool(self.runs)
+
+    @property
+    def has_target_broken_off(self) -> bool:
+        """Tell whether the target that was asked last broke off."""
+        ends = [
+            run.end for run in sorted(self.runs, key=lambda run: run.arrived_s)
+        ]
+        return bool(ends) and ends[-1] is RunEnd.BROKE_OFF
 
     def is_disrupted(self, from_s: float, until_s: float) -> bool:
         """Tell whether an unplanned disruption touches a span."""
@@ -85,6 +93,10 @@
             for run in self.runs
         )
 
+    def works_until(self, at_s: float) -> bool:
+        """Tell whether a target still worked on it at that time."""
+        return any(run.began_s and run.ended_s >= at_s for run in self.runs)
+
 
 class Finding(msgspec.Struct, frozen=True, kw_only=True):
     """What the rule says of a request."""
--- a/tools/site_rig/deployment.py
+++ b/tools/site_rig/deployment.py
@@ -15,7 +15,7 @@
 from tools.site_rig.scene import Disruption, Scene
 from tools.site_rig.stage import Stage
 
-TARGET_GROUPS = 2
+TARGET_GROUPS = 4
 _CALM_S = 2.0
 _LAST_ANSWERS_S = 9.0
 _END_S = 20.0
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -1,9 +1,12 @@
 """The disruptions of a run: those of a day, or all kinds at once."""
 
 from collections.abc import Iterable, Iterator
+from types import MappingProxyType
 
 import msgspec
 
+from tools.site_rig.answer_ways import endless_way
+from tools.site_rig.endless import ENDLESS
 from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.site import Closing, PlanEntry, Site
 from tools.site_rig.spread import Spread
@@ -25,6 +28,46 @@
         for number in range(20)
     ),
 )
+_ENDLESS = PlanEntry(at=2, kind='endless', ratio=0.1, for_s=40)
+_ALL_ENDLESS = (
+    _ENDLESS,
+    msgspec.structs.replace(_ENDLESS, how='length', ratio=0.2),
+    msgspec.structs.replace(_ENDLESS, how='chunks', ratio=0.2),
+)
+_ODD_TARGETS = (
+    PlanEntry(at=2, kind='garble', for_s=30),
+    PlanEntry(at=4, kind='garble', how='extra', for_s=8),
+    PlanEntry(at=8, kind='garble', how='early', ratio=0.2, for_s=20),
+    PlanEntry(at=12, kind='garble', how='extra late', ratio=0.03, for_s=10),
+    PlanEntry(at=16, kind='garble', how='unframed', ratio=0.05, for_s=12),
+    PlanEntry(at=3, kind='answer_lost', for_s=10),
+    PlanEntry(at=14, kind='answer_lost', how='reset', ratio=0.06, for_s=10),
+    PlanEntry(at=5, kind='srv_slow', ratio=5, for_s=8),
+    PlanEntry(at=15, kind='srv_slow', share=0.4, ratio=12, for_s=6),
+    PlanEntry(at=10, kind='srv_grey', for_s=6),
+    PlanEntry(at=20, kind='srv_grey', how='shed', for_s=8),
+)
+# Plans of the rig's own, by their names.
+_OWN_PLANS = MappingProxyType(
+    {
+        MIXED: _MIXED_PLAN,
+        'calm': (),
+        'endless': _ALL_ENDLESS,
+        **{
+            endless_way(name): (
+                msgspec.structs.replace(_ENDLESS, how=name, ratio=0.5),
+            )
+            for name in ENDLESS
+        },
+        'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
+        'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
+        'mixed+targets+endless': (
+            *_MIXED_PLAN,
+            *_ODD_TARGETS,
+            *_ALL_ENDLESS,
+        ),
+    }
+)
 # What strikes at the end comes after a change and in the load.
 _CLOSING_BEFORE_END_S = 12.0
 _AFTER_CHANGE_S = 0.01
@@ -105,8 +148,9 @@
 def plan_of(spread: Spread, day: str) -> Plan:
     """Return the plan of a day by its name."""
     planner = Planner(spread=spread)
-    if day == MIXED:
-        return planner.plan(_MIXED_PLAN, None)
+    own = _OWN_PLANS.get(day)
+    if own is not None:
+        return planner.plan(own, None)
     found = spread.site.day_named(day)
     return planner.plan(found.entries, found.closing)
 
@@ -120,7 +164,7 @@
 
 def site_of(site: Site, day: str) -> Site:
     """Return the site with the traffic of a day."""
-    if day == MIXED:
+    if day in _OWN_PLANS:
         return site
     traffic = site.day_named(day).traffic or site.traffic
     return msgspec.structs.replace(site, traffic=traffic)
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -31,6 +31,8 @@
     CUT = 'cut'
     # The target itself closed the connection.
     BROKE_OFF = 'broke off'
+    # The target has run it and never answers.
+    SILENT = 'silent'
 
 
 class SignalKind(enum.StrEnum):
@@ -44,6 +46,10 @@
     END = 'end'
     # It had ended by itself.
     REVIVAL = 'revival'
+    # A process that used more memory than it has was killed: an own end.
+    OVER_MEMORY = 'over memory'
+    # Trouble of targets or clients; it excuses nothing.
+    TROUBLE = 'trouble'
 
 
 class RequestRecord(
@@ -71,6 +77,8 @@
     is_reset: bool = False
     # The longest time that the caller's loop stood still meanwhile.
     lag_s: float = 0
+    # How its client used the connection, '' for the usual manner.
+    manner: str = ''
 
     @property
     def lasted_s(self) -> float:
@@ -92,6 +100,15 @@
     status: int = 0
 
 
+class MemoryRecord(msgspec.Struct, frozen=True, kw_only=True, tag='memory'):
+    """The peak of a node's process, and its open descriptors then."""
+
+    host: str
+    pid: int
+    peak_mb: float
+    descriptors: int
+
+
 class LagRecord(msgspec.Struct, frozen=True, kw_only=True, tag='lag'):
     """A moment up to which a loop stood still."""
 
@@ -120,7 +137,14 @@
     is_of_target: bool = False
 
 
-Record = RequestRecord | RunRecord | LagRecord | SignalRecord | TroubleRecord
+Record = (
+    RequestRecord
+    | RunRecord
+    | MemoryRecord
+    | LagRecord
+    | SignalRecord
+    | TroubleRecord
+)
 
 
 class RecordFile:
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -37,6 +37,7 @@
     speed: float
     memory_mb: float
     group: int
+    fds: int = 4100
     # Seconds after the start of the load; 0 is from the start, and for ever.
     arrives_s: float = 0
     leaves_s: float = 0
@@ -83,6 +84,10 @@
     how: str = ''
     ratio: float = 0
     for_s: float = 0
+    # Part of the clients that a word is about, and where they are or go.
+    share: float = 1
+    zone: str = ''
+    to_zone: str = ''
     # A burst of requests meets the signal.
     is_busy: bool = False
     idle_limit_s: float = 0
@@ -98,6 +103,8 @@
     folder: str
     length_s: float
     rate_ratio: float
+    # Part of the clients that use their connections oddly.
+    odd_share: float = 0
     began_s: float = 0
     # Words of the day that the rig leaves out.
     not_played: tuple[str, ...] = ()
@@ -167,6 +174,7 @@
                 region=regions[machines.zone],
                 speed=speeds[of_service % len(speeds)],
                 memory_mb=machines.memory_mb,
+                fds=machines.fds,
                 group=number % groups,
             )
         )
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -88,6 +88,7 @@
     count: int
     app: str
     memory_mb: float
+    fds: int = 4100
 
 
 class Zone(msgspec.Struct, frozen=True, kw_only=True):
@@ -140,6 +141,7 @@
     for_s: float | None = None
     service: str = ''
     zone: str = ''
+    to_zone: str = ''
 
     @property
     def hows(self) -> frozenset[str]:
@@ -175,6 +177,12 @@
         return self.plan + self.faults
 
 
+class Net(msgspec.Struct, frozen=True, kw_only=True):
+    """Delays of links, one way."""
+
+    client_ms: float = 0
+
+
 class Site(msgspec.Struct, frozen=True, kw_only=True):
     """A site file."""
 
@@ -186,6 +194,7 @@
     classes: tuple[RequestClass, ...]
     traffic: tuple[Traffic, ...]
     bounds: Bounds
+    net: Net = Net()
     day: tuple[Day, ...]
 
     def class_named(self, name: str) -> RequestClass:
--- a/tools/site_rig/spread.py
+++ b/tools/site_rig/spread.py
@@ -45,10 +45,12 @@
 
     def servers(self, entry: PlanEntry, share: float) -> list[Host]:
         """Return the hosts whose targets a word is about, one is spared."""
-        by_service = self._services(entry.at)
+        spared = 0 if 'all' in entry.hows else 1
+        by_service = self._services(entry.at, least=1 + spared)
+        if not by_service:
+            return []
         service = entry.service or self.rng.choice(sorted(by_service))
         fitting = by_service.get(service, [])
-        spared = 0 if 'all' in entry.hows else 1
         return self._sample(entry, share, fitting, len(fitting) - spared)
 
     def add(self, like: Host, at_s: float, *, ip: str = '') -> Host:
@@ -70,14 +72,14 @@
         leaving = msgspec.structs.replace(host, leaves_s=at_s)
         self._hosts[host.name] = leaving
 
-    def _services(self, at_s: float) -> dict[str, list[Host]]:
+    def _services(self, at_s: float, *, least: int) -> dict[str, list[Host]]:
         by_service: dict[str, list[Host]] = {}
         for host in self.there(at_s):
             by_service.setdefault(host.service, []).append(host)
         return {
             service: hosts
             for service, hosts in by_service.items()
-            if len(hosts) > 1
+            if len(hosts) >= least
         }
 
     def _sample(
--- a/tools/site_rig/stage.py
+++ b/tools/site_rig/stage.py
@@ -47,6 +47,7 @@
         node.start()
         self.nodes[host.name] = node
         self._tasks.append(asyncio.ensure_future(node.revive()))
+        self._tasks.append(asyncio.ensure_future(node.watch_memory()))
 
     def configure(self, disruption: Disruption) -> None:
         """Write another configuration."""
@@ -85,5 +86,6 @@
             task.cancel()
         for node in self.nodes.values():
             node.end()
+            node.note_peak()
         self.gates.close()
         self._records.close()
--- a/tools/site_rig/target_group.py
+++ b/tools/site_rig/target_group.py
@@ -6,6 +6,7 @@
 from tools.site_rig.scene import Host
 from tools.site_rig.target import SiteTarget
 from tools.site_rig.target_life import TargetLife
+from tools.site_rig.target_troubles import TargetTroubles
 
 
 class TargetGroup:
@@ -26,11 +27,13 @@
             before.end()
         self._starts += 1
         scene = self.member.scene
+        rng = random.Random(f'{scene.seed} {host.name}')  # noqa: S311
         target = SiteTarget(
             host=host,
             site=scene.site,
             records=self.member.records,
-            rng=random.Random(f'{scene.seed} {host.name}'),  # noqa: S311
+            rng=rng,
+            troubles=TargetTroubles(rng=rng),
             number=self._starts,
         )
         slots = scene.site.service_named(host.service).slots
