--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -8,10 +8,11 @@
 import tempfile
 
 from tools.site_rig.deployment import TARGET_GROUPS, DeploymentRun
-from tools.site_rig.plans import MIXED, Planner
+from tools.site_rig.plans import MIXED, length_of, plan_of, site_of
 from tools.site_rig.report import print_report
 from tools.site_rig.scene import Scene, hosts_of
 from tools.site_rig.site import load_site
+from tools.site_rig.spread import Spread
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # Second part of the addresses, so that runs side by side do not meet.
@@ -27,7 +28,7 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--length', type=float, default=32)
     parser.add_argument('--zones', type=int, default=0, help='0 for all')
-    parser.add_argument('--rate', type=float, default=1)
+    _add_shares(parser)
     parser.add_argument(
         '--code',
         type=pathlib.Path,
@@ -38,20 +39,33 @@
     return parser.parse_args()
 
 
+def _add_shares(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--odd', type=float, default=0, help='share of the odd clients'
+    )
+    parser.add_argument('--rate', type=float, default=1)
+
+
 def _scene(options: argparse.Namespace, seed: int) -> Scene:
-    site = load_site(options.site)
+    site = site_of(load_site(options.site), options.day)
+    length_s = length_of(site, options.day, options.length)
     network = _FIRST_NETWORK + os.getpid() % _NETWORKS
     hosts = hosts_of(site, f'127.{network}.1', options.zones, TARGET_GROUPS)
-    planner = Planner(hosts=hosts, length_s=options.length, seed=seed)
+    plan = plan_of(
+        Spread(site=site, hosts=hosts, length_s=length_s, seed=seed),
+        options.day,
+    )
     prefix = f'{site.name}-{options.day}-{seed}-'
     return Scene(
         site=site,
         seed=seed,
-        hosts=hosts,
-        disruptions=planner.disruptions(site, options.day),
+        hosts=plan.hosts,
+        disruptions=plan.disruptions,
         folder=tempfile.mkdtemp(prefix=prefix, dir=options.keep),
-        length_s=options.length,
+        length_s=length_s,
         rate_ratio=options.rate,
+        odd_share=options.odd,
+        not_played=plan.not_played,
     )
 
 
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tools.site_rig.memory_watch import MemoryWatch, limit_descriptors
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import Host
 from tools.site_rig.site import Bounds
@@ -40,8 +41,9 @@
         self._code = code
         self._bounds = bounds
         self._records = records
+        self._watch = MemoryWatch(host=host, records=records)
         self._process: subprocess.Popen[bytes] | None = None
-        self._is_stopping = False
+        self._is_held = False
         self._versions = 0
 
     def configure(self) -> None:
@@ -69,7 +71,7 @@
         written.write_bytes(msgspec.json.encode(settings))
         written.replace(self._settings)
 
-    def start(self) -> None:
+    def start(self, kind: SignalKind = SignalKind.START) -> None:
         """Start the process."""
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
@@ -78,39 +80,83 @@
                 env={**os.environ, 'FESCUEKNOT_CONFIG': str(self._settings)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                preexec_fn=limit_descriptors(self.host.fds),  # noqa: PLW1509
             )
-        self._note(SignalKind.START, f'pid {self._process.pid}')
+        self._note(kind, f'pid {self._process.pid}')
+
+    def send(self, sent: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._is_running:
+            self._process.send_signal(sent)
 
     def reload(self) -> None:
         """Send SIGHUP."""
         if self._is_running:
             self.configure()
             self._note(SignalKind.HUP)
-            self._process.send_signal(signal.SIGHUP)
+            self.send(signal.SIGHUP)
 
     async def restart(self) -> None:
         """Send SIGTERM, and start again after the end."""
-        if self._is_stopping or not self._is_running:
-            return
-        self._is_stopping = True
+        if await self.stop():
+            await asyncio.sleep(_RESTART_S)
+            self.start()
+            self._is_held = False
+
+    async def stop(self) -> bool:
+        """Send SIGTERM and wait for the end; it does not start by itself.
+
+        Return whether it was this call that stopped it.
+        """
+        if self._is_held or not self._is_running:
+            return False
+        self._is_held = True
         self._note(SignalKind.TERM)
-        self._process.send_signal(signal.SIGTERM)
+        self.send(signal.SIGTERM)
         ends_s = time.monotonic() + self._bounds.grace_s
         while self._is_running and time.monotonic() < ends_s:
             await asyncio.sleep(_POLL_S)
         self.end()
         self._note_end()
-        await asyncio.sleep(_RESTART_S)
-        self.start()
-        self._is_stopping = False
+        return True
+
+    async def kill(self, down_s: float, *, is_dark: bool = False) -> None:
+        """Send SIGKILL, and start again after a time.
+
+        One that is being stopped or is down is started by who stopped it. If
+        it is dark, its connections are silent until then, as after a loss of
+        power.
+        """
+        self._note(SignalKind.KILL)
+        self.send(signal.SIGSTOP if is_dark else signal.SIGKILL)
+        is_held = self._is_held
+        self._is_held = True
+        await asyncio.sleep(down_s)
+        self.send(signal.SIGKILL)
+        if not is_held:
+            self.end()
+            self._note_end()
+            self.start()
+            self._is_held = False
+
+    def remove(self) -> None:
+        """Kill it for good."""
+        self._is_held = True
+        self._note(SignalKind.KILL)
+        self.end()
+        self._note_end()
 
     async def revive(self) -> None:
         """Start again whenever the process has ended by itself."""
         while True:
             await asyncio.sleep(_RESTART_S)
-            if not self._is_stopping and not self._is_running:
+            if not self._is_held and not self._is_running:
                 self._note_end()
-                self.start()
+                self.start(SignalKind.REVIVAL)
+
+    async def watch_memory(self) -> None:
+        """Hold the process to the memory of its machine."""
+        await self._watch.run(lambda: self._process)
 
     def end(self) -> None:
         """Kill the process if it runs."""
@@ -118,6 +164,10 @@
             self._process.kill()
             self._process.wait()
 
+    def note_peak(self) -> None:
+        """Write the peak of the last process."""
+        self._watch.note()
+
     @property
     def _is_running(self) -> bool:
         return self._process is not None and self._process.poll() is None
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -1,13 +1,16 @@
 """The disruptions of a run: those of a day, or all kinds at once."""
 
-import itertools
-import math
-import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from types import MappingProxyType
 
-from tools.site_rig.configurations import IDLE_LIMITS_S
+import msgspec
+
+from tools.site_rig.answer_ways import endless_way
+from tools.site_rig.endless import ENDLESS
 from tools.site_rig.scene import Disruption, Host
-from tools.site_rig.site import PlanEntry, Site
+from tools.site_rig.site import Closing, PlanEntry, Site
+from tools.site_rig.spread import Spread
+from tools.site_rig.words import WORDS
 
 MIXED = 'mixed'
 _CONFIGURATION_KINDS = ('timeout', 'idle', 'route', 'weights', 'skew')
@@ -25,59 +28,143 @@
         for number in range(20)
     ),
 )
+_ENDLESS = PlanEntry(at=2, kind='endless', ratio=0.1, for_s=40)
+_ALL_ENDLESS = (
+    _ENDLESS,
+    msgspec.structs.replace(_ENDLESS, how='length', ratio=0.2),
+    msgspec.structs.replace(_ENDLESS, how='chunks', ratio=0.2),
+)
+_ODD_TARGETS = (
+    PlanEntry(at=2, kind='garble', for_s=30),
+    PlanEntry(at=4, kind='garble', how='extra', for_s=8),
+    PlanEntry(at=8, kind='garble', how='early', ratio=0.2, for_s=20),
+    PlanEntry(at=12, kind='garble', how='extra late', ratio=0.03, for_s=10),
+    PlanEntry(at=16, kind='garble', how='unframed', ratio=0.05, for_s=12),
+    PlanEntry(at=3, kind='answer_lost', for_s=10),
+    PlanEntry(at=14, kind='answer_lost', how='reset', ratio=0.06, for_s=10),
+    PlanEntry(at=5, kind='srv_slow', ratio=5, for_s=8),
+    PlanEntry(at=15, kind='srv_slow', share=0.4, ratio=12, for_s=6),
+    PlanEntry(at=10, kind='srv_grey', for_s=6),
+    PlanEntry(at=20, kind='srv_grey', how='shed', for_s=8),
+)
+# Plans of the rig's own, by their names.
+_OWN_PLANS = MappingProxyType(
+    {
+        MIXED: _MIXED_PLAN,
+        'calm': (),
+        'endless': _ALL_ENDLESS,
+        **{
+            endless_way(name): (
+                msgspec.structs.replace(_ENDLESS, how=name, ratio=0.5),
+            )
+            for name in ENDLESS
+        },
+        'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
+        'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
+        'mixed+targets+endless': (
+            *_MIXED_PLAN,
+            *_ODD_TARGETS,
+            *_ALL_ENDLESS,
+        ),
+    }
+)
+# What strikes at the end comes after a change and in the load.
+_CLOSING_BEFORE_END_S = 12.0
+_AFTER_CHANGE_S = 0.01
+_CLOSINGS = frozenset(('kill_all', 'power_off_all'))
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """What happens in a run, and what of the day is left out."""
+
+    hosts: tuple[Host, ...]
+    disruptions: tuple[Disruption, ...]
+    not_played: tuple[str, ...]
 
 
 class Planner:
-    """Spreads the plan of a day over the hosts."""
-
-    def __init__(
-        self, *, hosts: tuple[Host, ...], length_s: float, seed: int
-    ) -> None:
-        self._hosts = hosts
-        self._length_s = length_s
-        self._rng = random.Random(seed)  # noqa: S311
-        self._makers = {
-            'roll_term': self._roll,
-            'hup': self._roll,
-            'config_change': self._configure,
-            'config_storm': self._configure,
-        }
-
-    def disruptions(self, site: Site, day: str) -> tuple[Disruption, ...]:
+    """Spreads the words of a day over the hosts."""
+
+    def __init__(self, *, spread: Spread) -> None:
+        self._spread = spread
+        self._not_played: list[str] = []
+
+    def plan(
+        self, entries: Iterable[PlanEntry], closing: Closing | None
+    ) -> Plan:
         """Return what happens, in its order."""
-        found = itertools.chain.from_iterable(
-            self._makers[entry.kind](entry)
-            for entry in plan_of(site, day)
-            if entry.kind in self._makers
+        found: list[Disruption] = []
+        for entry in sorted(entries, key=lambda planned: planned.at):
+            found.extend(self._disruptions(entry))
+        if closing is not None:
+            found.extend(self._closing(closing))
+        ends_s = self._spread.length_s
+        return Plan(
+            hosts=self._spread.hosts,
+            disruptions=tuple(
+                made
+                for made in sorted(found, key=lambda made: made.at_s)
+                if made.at_s < ends_s
+            ),
+            not_played=tuple(self._not_played),
         )
-        in_time = [made for made in found if made.at_s < self._length_s]
-        return tuple(sorted(in_time, key=lambda made: made.at_s))
 
-    def _roll(self, entry: PlanEntry) -> Iterator[Disruption]:
-        count = math.ceil(entry.share * len(self._hosts))
-        chosen = self._rng.sample(self._hosts, count)
-        for number, host in enumerate(chosen):
+    def _disruptions(self, entry: PlanEntry) -> Iterator[Disruption]:
+        word = WORDS.get(entry.kind)
+        if word is None:
+            self._leave_out(entry.kind, entry.how, entry.at)
+            return
+        rest = entry.hows - word.hows
+        if rest:
+            self._leave_out(entry.kind, ' '.join(sorted(rest)), entry.at)
+        if word.lacks:
+            self._leave_out(entry.kind, word.lacks, entry.at)
+        made = list(word.maker(self._spread, entry))
+        if not made:
+            self._leave_out(entry.kind, '(no host for it)', entry.at)
+        yield from made
+
+    def _closing(self, closing: Closing) -> Iterator[Disruption]:
+        at_s = self._spread.length_s - _CLOSING_BEFORE_END_S
+        rest = closing.hows - {'all'}
+        if closing.kind not in _CLOSINGS or rest:
+            self._leave_out(closing.kind, ' '.join(sorted(rest)), at_s)
+            return
+        yield Disruption(at_s=at_s, kind='config_change', how='timeout')
+        for host in self._spread.there(at_s):
             yield Disruption(
-                at_s=entry.at + number * entry.gap_s,
-                kind=entry.kind,
+                at_s=at_s + _AFTER_CHANGE_S,
+                kind='node_kill',
                 host=host.name,
-                is_busy=entry.how == 'busy',
+                how='dark' if closing.kind == 'power_off_all' else '',
+                for_s=closing.down_s,
             )
 
-    def _configure(self, entry: PlanEntry) -> Iterator[Disruption]:
-        count = 1 + int(entry.for_s / entry.gap_s)
-        for number in range(count):
-            is_idle = entry.how == 'idle'
-            yield Disruption(
-                at_s=entry.at + number * entry.gap_s,
-                kind='config_change',
-                how=entry.how,
-                idle_limit_s=self._rng.choice(IDLE_LIMITS_S) * is_idle,
-            )
+    def _leave_out(self, kind: str, how: str, at_s: float) -> None:
+        word = f'{kind} {how}'.strip()
+        self._not_played.append(f'{word} at {at_s:g} s')
 
 
-def plan_of(site: Site, day: str) -> tuple[PlanEntry, ...]:
+def plan_of(spread: Spread, day: str) -> Plan:
     """Return the plan of a day by its name."""
-    if day == MIXED:
-        return _MIXED_PLAN
-    return next(found.plan for found in site.day if found.name == day)
+    planner = Planner(spread=spread)
+    own = _OWN_PLANS.get(day)
+    if own is not None:
+        return planner.plan(own, None)
+    found = spread.site.day_named(day)
+    return planner.plan(found.entries, found.closing)
+
+
+def length_of(site: Site, day: str, length_s: float) -> float:
+    """Return the length of the load: what strikes at the end comes in it."""
+    if day == MIXED or site.day_named(day).closing is None:
+        return length_s
+    return length_s + _CLOSING_BEFORE_END_S
+
+
+def site_of(site: Site, day: str) -> Site:
+    """Return the site with the traffic of a day."""
+    if day in _OWN_PLANS:
+        return site
+    traffic = site.day_named(day).traffic or site.traffic
+    return msgspec.structs.replace(site, traffic=traffic)
