--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -24,6 +24,8 @@
 _FAILED = 500
 _TOO_LATE = 504
 _OK = 200
+_CONNECTION = 'connection'
+_CLOSE = 'close'
 
 
 class Run(msgspec.Struct, kw_only=True):
@@ -51,16 +53,18 @@
         site: Site,
         records: RecordFile,
         rng: random.Random,
-        troubles: TargetTroubles,
+        number: int = 0,
     ) -> None:
         self.host = host
-        self.instance = f'i-{host.name}'
+        self.instance = f'i-{host.name}-{number}'
+        self.is_leaving = False
+        self.is_down = False
         self.started_ms = int(time.time() * _MS_PER_S)
         self._site = site
         self._service = site.service_named(host.service)
         self._records = records
         self._rng = rng
-        self.troubles = troubles
+        self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
         self._caller = Caller(host=host, records=records, rng=rng)
@@ -68,7 +72,7 @@
     async def answer(self, arrival: Arrival) -> Reply:
         """Run one request, or reject it."""
         if arrival.path.startswith('/health'):
-            return self._reply(_OK, '')
+            return self._reply(_FULL if self.is_leaving else _OK, '')
         attempt = arrival.headers.get(NAMES.attempt, '')
         expected = arrival.headers.get(NAMES.expected_instance)
         run = self._run_of(arrival, attempt)
@@ -82,7 +86,8 @@
         try:
             return await self._take(run)
         except asyncio.CancelledError:
-            self._note(run, RunEnd.CUT, 0)
+            end = RunEnd.BROKE_OFF if self.is_down else RunEnd.CUT
+            self._note(run, end, 0)
             raise
         finally:
             self._present -= 1
@@ -178,6 +183,8 @@
             NAMES.instance: self.instance,
             NAMES.load: load,
         }
+        if self.is_leaving:
+            headers[_CONNECTION] = _CLOSE
         fields = headers | (more or {})
         return Reply(status=status, headers=fields, body=body, way=way)
 
--- a/tools/site_rig/target_connection.py
+++ b/tools/site_rig/target_connection.py
@@ -111,3 +111,6 @@
             arrival = await self._arrivals.get()
             reply = await self._app.answer(arrival)
             await WAYS[reply.way].send(self._outlet, reply)
+            if reply.headers.get('connection') == 'close':
+                self._transport.close()
+                return
--- a/tools/site_rig/target_players.py
+++ b/tools/site_rig/target_players.py
@@ -2,9 +2,10 @@
 
 from tools.site_rig.player import Player
 from tools.site_rig.target_group import TargetGroup
+from tools.site_rig.target_life_player import TargetLifePlayer
 from tools.site_rig.trouble_player import TroublePlayer
 
-TARGET_PLAYERS: tuple[type[Player], ...] = (TroublePlayer,)
+TARGET_PLAYERS: tuple[type[Player], ...] = (TargetLifePlayer, TroublePlayer)
 
 
 def target_players(group: TargetGroup) -> list[Player]:
