--- a/tests/site_rig/test_target.py
+++ b/tests/site_rig/test_target.py
@@ -10,7 +10,6 @@
 from tools.site_rig.records import RecordFile, RunEnd, read_records
 from tools.site_rig.target import SiteTarget
 from tools.site_rig.target_connection import Arrival
-from tools.site_rig.target_troubles import TargetTroubles
 
 
 class Stand:
@@ -19,13 +18,11 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._path = folder / 'records.jsonl'
         self._records = RecordFile(path=self._path)
-        rng = random.Random(1)
         self.target = SiteTarget(
             host=small_hosts()[0],
             site=small_site(),
             records=self._records,
-            rng=rng,
-            troubles=TargetTroubles(rng=rng),
+            rng=random.Random(1),
         )
 
     async def answer(self, path: str):
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -53,7 +53,6 @@
         site: Site,
         records: RecordFile,
         rng: random.Random,
-        troubles: TargetTroubles,
         number: int = 0,
     ) -> None:
         self.host = host
@@ -65,7 +64,7 @@
         self._service = site.service_named(host.service)
         self._records = records
         self._rng = rng
-        self.troubles = troubles
+        self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
         self._caller = Caller(host=host, records=records, rng=rng)
