--- a/tests/site_rig/test_troubles.py
+++ b/tests/site_rig/test_troubles.py
@@ -10,7 +10,13 @@
 from tools.site_rig.client_player import ClientPlayer
 from tools.site_rig.client_troubles import ClientTroubles
 from tools.site_rig.endless import ENDLESS
-from tools.site_rig.plans import Planner
+from tools.site_rig.plans import (
+    OWN_PLANS,
+    Planner,
+    length_of,
+    plan_of,
+    site_of,
+)
 from tools.site_rig.records import RecordFile
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import PlanEntry
@@ -25,6 +31,23 @@
     return Planner(spread=spread).plan(entries, None)
 
 
+class TestOwnPlans:
+    """Plans that belong to no day."""
+
+    # Guards against a plan of the rig's own that cannot be played.
+    @pytest.mark.parametrize('name', OWN_PLANS)
+    def test_played(self, name):
+        site = site_of(small_site(), name)
+        spread = Spread(site=site, hosts=small_hosts(), length_s=40, seed=1)
+        plan = plan_of(spread, name)
+
+        assert plan.not_played == ()
+        # A shift has nowhere to go to here.
+        words = {each.kind for each in OWN_PLANS[name]} - {'shift'}
+        assert words == {made.kind for made in plan.disruptions}
+        assert length_of(site, name, 32) == 32
+
+
 def ways_of(kind: str, how: str, ratio: float = 1) -> set[str]:
     """Return the ways of many answers of a target that a word struck."""
     plan = planned(PlanEntry(at=1, kind=kind, how=how, ratio=ratio))
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -47,8 +47,14 @@
     PlanEntry(at=10, kind='srv_grey', for_s=6),
     PlanEntry(at=20, kind='srv_grey', how='shed', for_s=8),
 )
+_PRESSED = (
+    PlanEntry(at=2, kind='burst', ratio=1.7, for_s=20),
+    PlanEntry(at=5, kind='retry_abuse', share=0.4, for_s=8),
+    PlanEntry(at=12, kind='give_up', for_s=6),
+    PlanEntry(at=18, kind='shift', for_s=6),
+)
 # Plans of the rig's own, by their names.
-_OWN_PLANS = MappingProxyType(
+OWN_PLANS = MappingProxyType(
     {
         MIXED: _MIXED_PLAN,
         'calm': (),
@@ -61,11 +67,18 @@
         },
         'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
         'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
+        'mixed+clients': (*_MIXED_PLAN, *_PRESSED),
         'mixed+targets+endless': (
             *_MIXED_PLAN,
             *_ODD_TARGETS,
             *_ALL_ENDLESS,
         ),
+        'mixed+all': (
+            *_MIXED_PLAN,
+            *_ODD_TARGETS,
+            *_PRESSED,
+            *_ALL_ENDLESS,
+        ),
     }
 )
 # What strikes at the end comes after a change and in the load.
@@ -148,7 +161,7 @@
 def plan_of(spread: Spread, day: str) -> Plan:
     """Return the plan of a day by its name."""
     planner = Planner(spread=spread)
-    own = _OWN_PLANS.get(day)
+    own = OWN_PLANS.get(day)
     if own is not None:
         return planner.plan(own, None)
     found = spread.site.day_named(day)
@@ -157,14 +170,14 @@
 
 def length_of(site: Site, day: str, length_s: float) -> float:
     """Return the length of the load: what strikes at the end comes in it."""
-    if day == MIXED or site.day_named(day).closing is None:
+    if day in OWN_PLANS or site.day_named(day).closing is None:
         return length_s
     return length_s + _CLOSING_BEFORE_END_S
 
 
 def site_of(site: Site, day: str) -> Site:
     """Return the site with the traffic of a day."""
-    if day in _OWN_PLANS:
+    if day in OWN_PLANS:
         return site
     traffic = site.day_named(day).traffic or site.traffic
     return msgspec.structs.replace(site, traffic=traffic)
