--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -181,6 +181,21 @@
     """Delays of links, one way."""
 
     client_ms: float = 0
+    cross_zone_ms: float = 0
+    cross_region_ms: float = 0
+
+    @property
+    def not_played(self) -> tuple[str, ...]:
+        """Return what of it the rig leaves out: nodes call each other."""
+        delays = {
+            'cross_zone_ms': self.cross_zone_ms,
+            'cross_region_ms': self.cross_region_ms,
+        }
+        return tuple(
+            f'{name} = {delay_ms:g} between nodes'
+            for name, delay_ms in delays.items()
+            if delay_ms
+        )
 
 
 class Site(msgspec.Struct, frozen=True, kw_only=True):
