--- a/tools/site_rig/target_group.py
+++ b/tools/site_rig/target_group.py
@@ -6,7 +6,6 @@
 from tools.site_rig.scene import Host
 from tools.site_rig.target import SiteTarget
 from tools.site_rig.target_life import TargetLife
-from tools.site_rig.target_troubles import TargetTroubles
 
 
 class TargetGroup:
@@ -33,7 +32,6 @@
             site=scene.site,
             records=self.member.records,
             rng=rng,
-            troubles=TargetTroubles(rng=rng),
             number=self._starts,
         )
         slots = scene.site.service_named(host.service).slots
--- a/tools/site_rig/words.py
+++ b/tools/site_rig/words.py
@@ -5,9 +5,9 @@
 
 from types import MappingProxyType
 
+from tools.site_rig.answer_words import ANSWER_WORDS
 from tools.site_rig.client_words import CLIENT_WORDS
 from tools.site_rig.configuration_words import CONFIGURATION_WORDS
-from tools.site_rig.host_words import HOST_WORDS
 from tools.site_rig.node_words import NODE_WORDS
 from tools.site_rig.spread import Word
 from tools.site_rig.store_words import STORE_WORDS
@@ -17,9 +17,9 @@
     {
         **CONFIGURATION_WORDS,
         **NODE_WORDS,
-        **HOST_WORDS,
-        **STORE_WORDS,
         **TARGET_WORDS,
+        **STORE_WORDS,
+        **ANSWER_WORDS,
         **CLIENT_WORDS,
     }
 )
