--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -1,13 +1,12 @@
 """The server's side of a client's connection."""
 
-import abc
 import asyncio
 import logging
 import types
 from collections.abc import Callable
 
-from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
+from fescueknot.httpio.connection_owner import ConnectionOwner
 from fescueknot.httpio.encoding import encode_response_head, joined
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.kernel_buffers import has_input, unread_bytes
@@ -19,7 +18,7 @@
     RequestPipeline,
 )
 from fescueknot.httpio.request_reader import RequestReader
-from fescueknot.httpio.unanswered import Unanswered, UnansweredCounts
+from fescueknot.httpio.unanswered import Unanswered
 
 _LOG = logging.getLogger('fescueknot.httpio')
 # After the last response, a client that does not close the connection within
@@ -37,34 +36,6 @@
 _REQUEST_TIMEOUT_STATUS = 408
 
 
-class ConnectionOwner(abc.ABC):
-    """The server that a connection belongs to.
-
-    While ``draining``, a connection is closed after a response unless a later
-    request of it has been started.
-    """
-
-    draining = False
-    buffers: BufferBudget
-    unanswered: UnansweredCounts
-
-    @abc.abstractmethod
-    def connection_opened(self, connection: 'ServerConnection') -> None:
-        """Record a new connection."""
-
-    @abc.abstractmethod
-    def connection_closed(self, connection: 'ServerConnection') -> None:
-        """Record the end of a connection."""
-
-    @abc.abstractmethod
-    def request_started(self, answer: AnswerFuture) -> None:
-        """Record that a handler started to answer a request."""
-
-    @abc.abstractmethod
-    def request_ended(self, answer: AnswerFuture) -> None:
-        """Record the end of a request, with its error if it failed."""
-
-
 class ServerConnection(asyncio.Protocol):
     """Reads requests and writes the responses in the order of the requests.
 
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from fescueknot.httpio.buffer_budget import BufferBudget
-from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
+from fescueknot.httpio.connection import ServerConnection
+from fescueknot.httpio.connection_owner import ConnectionOwner
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.listener import Listener
 from fescueknot.httpio.pipeline import AnswerFuture
--- a/tests/httpio/fake_transport.py
+++ b/tests/httpio/fake_transport.py
@@ -4,7 +4,7 @@
 import socket
 
 from fescueknot.httpio.buffer_budget import BufferBudget
-from fescueknot.httpio.connection import ConnectionOwner
+from fescueknot.httpio.connection_owner import ConnectionOwner
 from fescueknot.httpio.unanswered import UnansweredCounts
 
 
