--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -1,7 +1,6 @@
 """Requests between a node and its peers, the other nodes."""
 
 import asyncio
-import json
 import types
 from collections.abc import Callable, Mapping
 from typing import TypeVar
@@ -13,12 +12,10 @@
 from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.client import Client
 from fescueknot.httpio.client_connection import ClientSettings
-from fescueknot.httpio.encoding import end_to_end
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
 from fescueknot.identity import Address
-from fescueknot.relay.dispatch import remove_headers
 from fescueknot.relay.gatekeeper import Gatekeeper
 from fescueknot.relay.header_names import (
     ANSWER_HEADER,
@@ -28,7 +25,6 @@
     HeaderNames,
 )
 from fescueknot.relay.messages import (
-    AnswerHead,
     Call,
     CallHead,
     Ending,
@@ -37,6 +33,12 @@
     reply_without_response,
 )
 from fescueknot.relay.observer import Observer
+from fescueknot.relay.peer_codec import (
+    decode_reply,
+    encode_call,
+    encode_reply,
+    restore_attempt,
+)
 from fescueknot.routes.updates import RoutesUpdate
 
 _MS_PER_S = 1000
@@ -46,8 +48,6 @@
 # Must exceed the idle time of the peer client (20 s): the client closes idle
 # connections first.
 _PEER_LIMITS = Limits(idle_timeout_s=30)
-_REFUSED_STATUS = 503
-_UNKNOWN_STATUS = 502
 _FETCH_TIMEOUT_S = 1.0
 _MAX_VERSION_DIGITS = 19
 _FETCH_ERRORS = (
@@ -78,7 +78,7 @@
         """Send a call once; its ending is unknown if the answer is lost."""
         try:
             response = await self._client(node).exchange(
-                _encode_call(call, self._replaced)
+                encode_call(call, self._replaced)
             )
         except NotSentError as error:
             return reply_without_response(
@@ -92,7 +92,7 @@
                 # the state of all connections to the node.
                 self._client(node).close()
             raise
-        return _decode_reply(response)
+        return decode_reply(response)
 
     async def routes_after(
         self, node: Address, version: int
@@ -190,7 +190,7 @@
         except DECODE_ERRORS:
             return Response(status=400)
         attempt = request.header(self._header_names.attempt) or ''
-        head = _restore_attempt(head, attempt)
+        head = restore_attempt(head, attempt)
         self._on_routes_version(head.version, peer)
         now_s = asyncio.get_running_loop().time()
         call = Call(
@@ -199,7 +199,7 @@
             expires_s=now_s + head.remaining_ms / _MS_PER_S,
         )
         reply = await self._gatekeeper.submit(call)
-        return _encode_reply(reply)
+        return encode_reply(reply)
 
     def limits(self) -> Limits:
         """Return wide limits; callers' nodes have applied the narrow ones."""
@@ -210,7 +210,7 @@
         """Tell nodes whose calls cross the end of this node to go elsewhere."""
         if not self._gatekeeper.stopping:
             return None
-        return _encode_reply(
+        return encode_reply(
             reply_without_response(
                 Ending.REFUSED, 'the call was not read', RefusedFor.STOPPING
             )
@@ -224,76 +224,3 @@
                 body = msgspec.json.encode(update_after(int(version)))
                 return Response(status=200, body=body)
         return Response(status=400)
-
-
-def _restore_attempt(head: CallHead, attempt: str) -> CallHead:
-    """Return the head with the attempt id that encoding left out."""
-    lineage = head.lineage
-    if not lineage.root:
-        lineage = msgspec.structs.replace(lineage, root=attempt)
-    return msgspec.structs.replace(head, attempt=attempt, lineage=lineage)
-
-
-def _encode_call(call: Call, replaced: set[str]) -> Request:
-    """Encode a call; its head omits the attempt id, which is in a header."""
-    remaining_s = call.expires_s - asyncio.get_running_loop().time()
-    lineage = call.head.lineage
-    if lineage.root == call.head.attempt:
-        lineage = msgspec.structs.replace(lineage, root='')
-    head = msgspec.structs.replace(
-        call.head,
-        attempt='',
-        lineage=lineage,
-        remaining_ms=max(0, int(remaining_s * _MS_PER_S)),
-    )
-    passed_on = remove_headers(end_to_end(call.request.headers), replaced)
-    value = _header_text(head)
-    return Request(
-        method=call.request.method,
-        target=call.request.target,
-        headers=((CALL_HEADER, value), *passed_on),
-        body=call.request.body,
-    )
-
-
-def _header_text(head: CallHead | AnswerHead) -> str:
-    """Return the JSON text of a head, all of it ASCII."""
-    text = msgspec.json.encode(head).decode()
-    if text.isascii():
-        return text
-    return json.dumps(json.loads(text), separators=(',', ':'))
-
-
-def _decode_reply(response: Response) -> Reply:
-    text = response.header(ANSWER_HEADER)
-    if text is None and response.status == _REFUSED_STATUS:
-        # The node had no memory for the call and has not read it.
-        return reply_without_response(
-            Ending.REFUSED, 'the node has no room', RefusedFor.OVERLOAD
-        )
-    try:
-        head = msgspec.json.decode(text or '', type=AnswerHead)
-    except DECODE_ERRORS:
-        return reply_without_response(
-            Ending.UNKNOWN, f'status {response.status} of a node'
-        )
-    if head.ending is not Ending.ANSWERED:
-        return Reply(head=head)
-    passed_on = Response(
-        status=response.status,
-        reason=response.reason,
-        headers=remove_headers(end_to_end(response.headers), {ANSWER_HEADER}),
-        body=response.body,
-    )
-    return Reply(head=head, response=passed_on)
-
-
-def _encode_reply(reply: Reply) -> Response:
-    answer_header = (ANSWER_HEADER, _header_text(reply.head))
-    if reply.response is None:
-        unknown = reply.head.ending is Ending.UNKNOWN
-        status = _UNKNOWN_STATUS if unknown else _REFUSED_STATUS
-        return Response(status=status, headers=(answer_header,))
-    return msgspec.structs.replace(
-        reply.response, headers=(answer_header, *reply.response.headers)
-    )
