Answer clients that have half-closed their connection

Callers that ended their input after their requests and waited, as scripts do, saw their connection close without an answer; the requests had been passed on.

Cause: the end of input was taken for a client that has left, as both look the same. All requests in progress were cancelled.

Change: a client whose input ends while it is owed an answer is probed with the beginning of that answer, which is the same for all (`httpio/half_close.py`). One that has closed resets the connection, which a poll of the kernel shows, as the transport reads no more. Requests read before the end are answered, then the connection closes. Nodes among each other still leave at the end of input. Whether input is taken and read is a class of its own now (`ClientInput`), as connection.py had too many duties.

Why this works: only a client whose receiving side is open keeps the connection when bytes arrive, and the bytes are part of what it waits for.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -3,11 +3,12 @@
 import asyncio
 import logging
 import types
-from collections.abc import Callable
 
+from fescueknot.httpio.client_input import ClientInput
 from fescueknot.httpio.client_waits import Awaited, ClientWaits, TimeLimit
 from fescueknot.httpio.connection_owner import ConnectionOwner
 from fescueknot.httpio.encoding import encode_response_head, joined
+from fescueknot.httpio.half_close import HalfCloseProbe
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.kernel_buffers import has_input, unread_bytes
 from fescueknot.httpio.messages import Response
@@ -24,9 +25,6 @@
 # After the last response, a client that does not close the connection within
 # this time is disconnected.
 _LINGER_S = 1.0
-# Bytes that are read and discarded from a client that keeps sending after its
-# last response. Then reading stops.
-_LINGER_BYTES = 1_048_576
 # A request without further bytes of its body for this long is refused.
 _STALLED_BODY_TIMEOUT_S = 15.0
 _REQUEST_PART_BY_IN_BODY = types.MappingProxyType(
@@ -62,8 +60,8 @@
         self._waits = ClientWaits(
             limits=self._time_limits(), on_read=self._restart_timer
         )
-        self._discards_input = False
-        self._discarded_bytes = 0
+        self._probe = HalfCloseProbe(on_left=lambda: self._transport.abort())
+        self._input = ClientInput()
 
     @property
     def has_unread(self) -> bool:
@@ -87,29 +85,38 @@
         """Cancel the requests in progress."""
         self._owner.connection_closed(self)
         self._waits.stop()
+        self._probe.stop()
         self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
         self._reader.release()
 
     def eof_received(self) -> bool:
-        """Treat a client that half-closes the connection as disconnected."""
+        """Go on for a client that may wait for answers, else close."""
+        if self._pipeline and self._handler.may_half_close:
+            self._input.is_ended = True
+            self._reader.end_input()
+            self._probe.begin(self._transport)
+            self._restart_timer()
+            return True
         self._pipeline.cancel_all(Unanswered.CLIENT_LEFT)
-        self._discards_input = True
+        self._input.is_discarded = True
         self._reader.discard()
         self._restart_timer()
         return False
 
     def data_received(self, received: bytes) -> None:
         """Parse requests, or discard bytes after the last response."""
-        if self._discards_input:
-            self._discarded_bytes += len(received)
-            self._update_reading()
+        if self._input.is_discarded:
+            self._input.discard(received)
+            self._input.update_reading(
+                self._transport, must_pause=self._reader.must_pause
+            )
             return
         if not self._parser.has_begun:
             # They may have changed since the last request.
             self._parser.apply_limits(self._handler.limits())
         refusal = self._reader.read(received, self._pipeline)
         if refusal is not None:
-            self._discards_input = True
+            self._input.is_discarded = True
             self._pipeline.add_final_response(refusal)
         elif self._parser.expects_continue:
             self._parser.expects_continue = False
@@ -127,7 +134,7 @@
         Returns whether it is idle, but for input that is still to be read.
         """
         is_between_requests = not self._pipeline and not self._parser.has_begun
-        if self._discards_input or not is_between_requests:
+        if self._input.is_discarded or not is_between_requests:
             return False
         if has_input(self._transport):
             return True
@@ -149,10 +156,16 @@
         if self._reader.can_go_on(self._pipeline):
             self.data_received(b'')
             return
+        is_at_end = self._input.is_ended and not self._pipeline
+        if is_at_end and not self._input.is_discarded:
+            self._close_gracefully()
+            return
         for answer in self._pipeline.start():
             self._owner.request_started(answer)
         self._restart_timer()
-        self._update_reading()
+        self._input.update_reading(
+            self._transport, must_pause=self._reader.must_pause
+        )
         self._reader.count_held(self._pipeline, self._transport)
 
     def _request_ended(self, answer: AnswerFuture) -> None:
@@ -167,10 +180,10 @@
             self._pipeline.cancel_all(Unanswered.NO_ANSWER)
             self._transport.abort()
             return False
-        may_close = response.closing or self._owner.draining
-        closing = may_close and not self._pipeline.any_started
-        closing = closing or not pending.keep_alive
-        head = encode_response_head(response, closing=closing)
+        closing = self._closes_after(pending, response)
+        head = self._probe.rest_of(
+            encode_response_head(response, closing=closing)
+        )
         is_bodyless = pending.request.method == 'HEAD'
         for piece in joined(head, b'' if is_bodyless else response.body):
             self._transport.write(piece)
@@ -178,46 +191,47 @@
             self._close_gracefully()
         return not closing
 
+    def _closes_after(
+        self, pending: PipelinedRequest, response: Response
+    ) -> bool:
+        if not pending.keep_alive:
+            return True
+        if self._input.is_ended and not self._pipeline:
+            return not self._reader.can_go_on(self._pipeline)
+        may_close = response.closing or self._owner.draining
+        return may_close and not self._pipeline.any_started
+
     def _close_gracefully(self) -> None:
         """Half-close, then wait for the client to read and to close.
 
         Closing at once with unread bytes would reset the connection, and the
         client might lose the response.
         """
-        if not self._discards_input and has_input(self._transport):
+        if self._input.is_taken and has_input(self._transport):
             self._owner.unanswered.add(Unanswered.NOT_READ)
-        self._discards_input = True
+        self._probe.stop()
+        self._input.is_discarded = True
         self._pipeline.cancel_all(Unanswered.BEHIND_CLOSE)
         self._reader.discard()
         self._reader.count_held(self._pipeline, self._transport)
-        if self._transport.is_closing():
-            return
-        try:
-            self._transport.write_eof()
-        except OSError as error:
-            _LOG.debug('httpio: cannot half-close the connection: %r', error)
-            self._transport.abort()
-            return
-        self._restart_timer()
+        if _end_output(self._transport):
+            self._restart_timer()
 
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
-        is_reading = not self._discards_input and not self._pipeline.is_full
+        is_reading = self._input.is_taken and not self._pipeline.is_full
         if self._parser.has_begun and is_reading:
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
         elif self._transport.get_write_buffer_size():
             awaited = Awaited.RESPONSE_READ
         elif self._pipeline:
             awaited = Awaited.NOTHING
-        elif self._discards_input:
+        elif self._input.is_discarded:
             awaited = Awaited.CLOSE
         self._waits.begin(awaited, self._transport)
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
-        def abort() -> None:  # noqa: WPS430
-            self._transport.abort()
-
         return {
             Awaited.REQUEST_HEAD: TimeLimit(
                 limit_s=lambda: self._handler.limits().header_timeout_s,
@@ -228,7 +242,9 @@
                 action=self._refuse_late_request,
             ),
             Awaited.CLOSE: TimeLimit(
-                limit_s=lambda: _LINGER_S, action=abort, after_delivery=True
+                limit_s=lambda: _LINGER_S,
+                action=lambda: self._transport.abort(),
+                after_delivery=True,
             ),
             Awaited.NEXT_REQUEST: TimeLimit(
                 limit_s=lambda: self._handler.limits().idle_timeout_s,
@@ -242,19 +258,20 @@
         if has_input(self._transport):
             self._waits.defer(self._refuse_late_request)
             return
-        self._discards_input = True
+        self._input.is_discarded = True
         self._pipeline.add_final_response(
             Response(status=_REQUEST_TIMEOUT_STATUS)
         )
         self._process_pipeline()
 
-    def _update_reading(self) -> None:
-        """Pause or resume reading, by pending requests and discarded bytes."""
-        must_pause = (
-            self._reader.must_pause or self._discarded_bytes > _LINGER_BYTES
-        )
-        switch: Callable[[], None] = self._transport.resume_reading
-        if must_pause:
-            switch = self._transport.pause_reading
-        if must_pause == self._transport.is_reading():
-            switch()
+
+def _end_output(transport: asyncio.Transport) -> bool:
+    """Half-close an open connection; return whether that was possible."""
+    if transport.is_closing():
+        return False
+    try:
+        transport.write_eof()
+    except OSError as error:
+        _LOG.debug('httpio: cannot half-close the connection: %r', error)
+        transport.abort()
+    return not transport.is_closing()
--- a/fescueknot/httpio/handler.py
+++ b/fescueknot/httpio/handler.py
@@ -11,9 +11,13 @@
     An idle connection gets the ``closing_notice``, if any, before it is closed.
     A client that reads it as the answer to a request that crosses the close
     learns that this request has not been read.
+
+    A client that ends its input while requests are in progress has left, unless
+    it ``may_half_close`` and wait for the answers: then it is probed.
     """
 
     closing_notice: Response | None = None
+    may_half_close = True
 
     @abc.abstractmethod
     async def answer(self, request: Request, peer: str) -> Response | None:
--- a/fescueknot/httpio/kernel_buffers.py
+++ b/fescueknot/httpio/kernel_buffers.py
@@ -11,6 +11,8 @@
 
 _LOG = logging.getLogger('fescueknot.httpio')
 _POLL_NOW_MS = 0
+# Errors and the end of both directions are reported all the same.
+_NO_EVENTS = 0
 _COUNT = bytes(4)
 
 
@@ -35,6 +37,19 @@
     return bool(poll.poll(_POLL_NOW_MS))
 
 
+def is_reset(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the other side has reset the connection.
+
+    A transport does not notice by itself once its input has ended.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), _NO_EVENTS)
+    return bool(poll.poll(_POLL_NOW_MS))
+
+
 def undelivered_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many sent bytes the other side has not acknowledged.
 
--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -79,6 +79,11 @@
         unread_bytes = transport.get_write_buffer_size()
         self._share.resize(held_bytes + unread_bytes)
 
+    def end_input(self) -> None:
+        """Drop the beginning of a request whose rest will not come."""
+        if not self._unparsed:
+            self._parser.discard()
+
     def discard(self) -> None:
         """Drop what was received and is no complete request."""
         self._parser.discard()
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -162,9 +162,11 @@
     ``on_routes_version`` receives the version of the routes at a calling node
     and the host of that node. ``updates_by_header`` maps the name of a request
     header to the function that returns the updates after the version or
-    revision in that header.
+    revision in that header. Other nodes close a connection as a whole.
     """
 
+    may_half_close = False
+
     def __init__(
         self,
         *,
