Tell clients to send a body in the order of their requests

A client that pipelines a request with `Expect: 100-continue` behind others saw `100 Continue` before the answers of these; one of HTTP/1.0 saw it at all.

Cause: the go-ahead was written when the head had been read, whatever was owed before it.

Change: it is written once no earlier request waits for its answer. Until then the time limit of the body doesn't run, as the client waits for us. Behind an answer that closes, and at the end of input, there is none.

Evidence: tests/httpio/test_expect_continue.py, 12 tests; before, 6 of them fail (`100` first with 1, 2 and 20 earlier requests and in front of one that works for 40 s; a go-ahead to HTTP/1.0, and one during a stop for a request that is not read). Refusals (413, 503) came whole and in their turn before too; the tests hold that. tests/httpio passes.

Why this works: what a connection writes has one order, that of its requests.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -118,9 +118,6 @@
         if refusal is not None:
             self._input.is_discarded = True
             self._pipeline.add_final_response(refusal)
-        elif self._parser.expects_continue:
-            self._parser.expects_continue = False
-            self._transport.write(_CONTINUE)
         self._process_pipeline()
 
     def resume_writing(self) -> None:
@@ -162,6 +159,8 @@
             return
         for answer in self._pipeline.start():
             self._owner.request_started(answer)
+        if self._input.is_taken and self._reader.lets_go_on(self._pipeline):
+            self._transport.write(_CONTINUE)
         self._restart_timer()
         self._input.update_reading(
             self._transport, must_pause=self._reader.must_pause
@@ -220,8 +219,7 @@
     def _restart_timer(self) -> None:
         """Bound the wait for the client: for what it has to send or to read."""
         awaited = Awaited.NEXT_REQUEST
-        is_reading = self._input.is_taken and not self._pipeline.is_full
-        if self._parser.has_begun and is_reading:
+        if self._input.is_taken and self._reader.expects_rest(self._pipeline):
             awaited = _REQUEST_PART_BY_IN_BODY[self._parser.in_body]
         elif self._transport.get_write_buffer_size():
             awaited = Awaited.RESPONSE_READ
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -12,6 +12,7 @@
 from fescueknot.httpio.messages import Limits, Request, Response
 
 _FIRST_FINAL_STATUS = 200
+_OLD_VERSION = '1.0'
 _TUNNEL_METHOD = b'CONNECT'
 # Default limits. They bound the memory that a server can make a client use for
 # one response.
@@ -84,7 +85,9 @@
     def on_headers_complete(self) -> None:
         """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
         self.in_body = True
-        self.expects_continue = any(
+        # HTTP/1.0 has no interim responses (RFC 9110, 10.1.1).
+        is_old = self._parser.get_http_version() == _OLD_VERSION
+        self.expects_continue = not is_old and any(
             name == 'expect' and value.lower() == '100-continue'
             for name, value in self._headers
         )
--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -79,6 +79,24 @@
         unread_bytes = transport.get_write_buffer_size()
         self._share.resize(held_bytes + unread_bytes)
 
+    def expects_rest(self, pipeline: RequestPipeline) -> bool:
+        """Return whether it is for the client to send on a request."""
+        waits_for_client = not (
+            pipeline.is_full or self._parser.expects_continue
+        )
+        return self._parser.has_begun and waits_for_client
+
+    def lets_go_on(self, pipeline: RequestPipeline) -> bool:
+        """Return whether a client is to be told now to send a body.
+
+        True once for each request that asks for it, behind the answers of all
+        earlier ones: a client would take it for a part of these.
+        """
+        lets_go_on = self._parser.expects_continue and not pipeline
+        if lets_go_on:
+            self._parser.expects_continue = False
+        return lets_go_on
+
     def end_input(self) -> None:
         """Drop the beginning of a request whose rest will not come."""
         if not self._unparsed:
