Let time limits spare an answer that has arrived in time

After a standstill of a process callers got 504 for work that had run and whose answer lay in the node's kernel; a connect that the kernel had completed counted as a host that doesn't answer.

Cause: a loop that comes back reads the answer and runs the limit in one turn. The task that waits would wake a turn later; the limit cancels it first, and `asyncio.timeout` drops what it was given.

Used for the answers to callers, the calls to targets, the updates of other nodes, the platform's store, all connects, and the receipts of departures.

Why this works: whether an answer is in time is decided after what has arrived has gone its way, not by the order of two events in one turn.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -13,6 +13,7 @@
     NotListeningError,
     NotSentError,
 )
+from fescueknot.httpio.late_limits import late_limit
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.tcp_options import set_tcp_timeouts
 from fescueknot.identity import Address
@@ -152,9 +153,9 @@
         """Open a connection; raise ``TimeoutError`` if it takes too long.
 
         ``asyncio.wait_for`` of Python 3.11 drops a cancellation that comes
-        together with the connection; ``asyncio.timeout`` does not.
+        together with the connection; a late limit does not.
         """
-        async with asyncio.timeout(self._settings.connect_timeout_s):
+        async with late_limit(self._settings.connect_timeout_s):
             return await asyncio.get_running_loop().create_connection(
                 lambda: ClientConnection(
                     settings=self._settings, buffers=self._buffers
--- a/fescueknot/platform/objects.py
+++ b/fescueknot/platform/objects.py
@@ -1,6 +1,5 @@
 """Client of the platform's object store over HTTP."""
 
-import asyncio
 import types
 from collections.abc import Sequence
 from urllib.parse import quote, urlencode
@@ -10,6 +9,7 @@
 from fescueknot.httpio.client import Client
 from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
+from fescueknot.httpio.late_limits import late_limit
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.identity import Address
 from fescueknot.objectapi.async_store import AsyncObjectStore
@@ -188,10 +188,8 @@
         extra_timeout_s: float = 0,
     ) -> Response:
         try:
-            response = await asyncio.wait_for(
-                self._client.exchange(request),
-                extra_timeout_s + _ANSWER_TIMEOUT_S,
-            )
+            async with late_limit(extra_timeout_s + _ANSWER_TIMEOUT_S):
+                response = await self._client.exchange(request)
         except NotSentError as error:
             raise Unavailable(str(error)) from error
         except (AnswerLostError, TimeoutError) as error:
--- a/fescueknot/relay/answer_times.py
+++ b/fescueknot/relay/answer_times.py
@@ -1,12 +1,13 @@
 """Latest times of the answers to callers, which come sooner in a stop."""
 
-import asyncio
 import contextlib
 import math
 from collections.abc import AsyncIterator
 
 import msgspec
 
+from fescueknot.httpio.late_limits import LateLimit, late_limit_at
+
 _MS_PER_S = 1000
 # A target is told to stop work this long before its caller's node stops to
 # wait, so that the target's own answer comes back: two ways between regions
@@ -35,24 +36,23 @@
 
     def __init__(self) -> None:
         self._end_s = math.inf
-        self._running: set[asyncio.Timeout] = set()
+        self._running: set[LateLimit] = set()
 
     def end_by(self, end_s: float) -> None:
         """Have all requests answered by a time, those that run too."""
         self._end_s = end_s
-        for timeout in self._running:
-            if not timeout.expired():
-                timeout.reschedule(min(timeout.when(), end_s))
+        for limit in self._running:
+            limit.move_ahead(end_s)
 
     @contextlib.asynccontextmanager
     async def timeout(self, times: AnswerTimes) -> AsyncIterator[None]:
         """Raise ``TimeoutError`` in the block once an answer is due."""
-        async with asyncio.timeout_at(times.answer_by_s) as timeout:
-            self._running.add(timeout)
+        async with late_limit_at(times.answer_by_s) as limit:
+            self._running.add(limit)
             try:
                 yield
             finally:
-                self._running.discard(timeout)
+                self._running.discard(limit)
 
     def times(self, expires_s: float) -> AnswerTimes:
         """Return the times of a request that expires at ``expires_s``."""
--- a/fescueknot/relay/departure_exchange.py
+++ b/fescueknot/relay/departure_exchange.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from fescueknot.httpio.late_limits import late_limit
 from fescueknot.identity import Address
 from fescueknot.relay.datagram_exchange import DatagramExchange, Send
 from fescueknot.relay.observer import Observer
@@ -110,9 +111,8 @@
         self._hand_overs[nonce] = hand_over
         notice = DepartureNotice(nonce=nonce, departures=(departure,))
         try:
-            await asyncio.wait_for(
-                self._send_until_done(notice, hand_over), timeout_s
-            )
+            async with late_limit(timeout_s):
+                await self._send_until_done(notice, hand_over)
         except TimeoutError:
             return False
         finally:
--- a/fescueknot/relay/dispatch.py
+++ b/fescueknot/relay/dispatch.py
@@ -15,6 +15,7 @@
     NotListeningError,
     NotSentError,
 )
+from fescueknot.httpio.late_limits import late_limit
 from fescueknot.httpio.messages import Headers, Request, Response
 from fescueknot.identity import Address
 from fescueknot.relay.announcement import read_announcement
@@ -103,14 +104,12 @@
         remaining_s = call.expires_s - asyncio.get_running_loop().time()
         margin_s = call.head.answer_margin_ms / _MS_PER_S
         try:
-            response = await asyncio.wait_for(
-                self._client.exchange(
+            async with late_limit(remaining_s + margin_s):
+                response = await self._client.exchange(
                     request,
                     lambda response: self._is_answer_to(response, call),
                     max_idle_s=max_idle_s,
-                ),
-                remaining_s + margin_s,
-            )
+                )
         except NotSentError as error:
             return reply_without_response(
                 Ending.REFUSED, str(error), RefusedFor.DOWN
--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -14,6 +14,7 @@
 from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
 from fescueknot.httpio.handler import Handler
+from fescueknot.httpio.late_limits import late_limit
 from fescueknot.httpio.messages import Limits, Request, Response
 from fescueknot.identity import Address
 from fescueknot.relay.gatekeeper import Gatekeeper
@@ -133,9 +134,8 @@
             headers=(('host', str(node)), (name, str(after))),
         )
         try:
-            response = await asyncio.wait_for(
-                self._client(node).exchange(request), _FETCH_TIMEOUT_S
-            )
+            async with late_limit(_FETCH_TIMEOUT_S):
+                response = await self._client(node).exchange(request)
             return msgspec.json.decode(response.body, type=update_type)
         except _FETCH_ERRORS as error:
             self._observer.note(
