Give back the memory of an answer as its reader takes it

Cause: the share of a connection was counted again only when the transport fell below its low-water mark, at the very end of an answer, though what had been read was free. Change: it is counted at each look at a slow reader, once a second, as when writing resumes. Before: tests/httpio/test_slow_readers.py::TestMemory sees 12,000,045 bytes at each look; now the bytes that are still unread.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -58,7 +58,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._waits = ClientWaits(
-            limits=self._time_limits(), on_read=self._restart_timer
+            limits=self._time_limits(), on_read=self.resume_writing
         )
         self._probe = HalfCloseProbe(on_left=lambda: self._transport.abort())
         self._input = ClientInput()
--- a/tests/httpio/test_slow_readers.py
+++ b/tests/httpio/test_slow_readers.py
@@ -15,6 +15,8 @@
 _BYTES_PER_S = 3_000_000
 _STEP_S = 0.25
 _IDLE_S = 1
+# A reader is looked at once in this time.
+_LOOK_S = 1.1
 
 
 class _Handler(Handler):
@@ -102,3 +104,26 @@
             return unread, server.responses_unread
 
         assert run_simulated(scenario) == (1, 0)
+
+
+class TestMemory:
+    """What is counted of an answer that waits for its reader."""
+
+    def test_what_has_been_read_is_given_back(self):
+        # Guards against answers that wait for memory which others have given
+        # back: a stop ends their callers' wait with 504.
+        async def scenario():
+            owner = NoOpOwner()
+            transport = await _answered(owner)
+            used = []
+            for unread_bytes in (_BODY_BYTES, _BODY_BYTES // 2, 100_000):
+                transport.unread_bytes = unread_bytes
+                await asyncio.sleep(_LOOK_S)
+                used.append(owner.buffers.used_bytes)
+            return used
+
+        assert run_simulated(scenario) == [
+            _BODY_BYTES,
+            _BODY_BYTES // 2,
+            100_000,
+        ]
