Start a node whose standard streams are closed

A node that was started without standard output or error ended with a traceback (`sys.stdout` is `None`).

Cause: an interpreter without the descriptor has no stream, and the next socket gets its number: what the process logs would then go to a client.

Change: before its imports the main module leads each of the three descriptors that is closed to the null device (`telemetry/standard_streams.py`).

Evidence: tests/platform/test_standard_streams.py; with the main module before, the start without output, without error and without all three fails (an `AttributeError`, seen as a process that ends before it calls its store). They pass now, and tests/platform/test_early_signals.py with them.

Why this works: descriptors are given out lowest first, so filling the gaps in order, before anything else is opened, puts the null device into them.

--- a/fescueknot/platform/main.py
+++ b/fescueknot/platform/main.py
@@ -1,9 +1,11 @@
 """Main module of a node on the users' platform."""
 
 from fescueknot.relay import no_tls, process_signals  # noqa: F401  isort: skip
+from fescueknot.telemetry import standard_streams  # isort: skip
 
 if __name__ == '__main__':
     process_signals.hold()
+    standard_streams.open_missing()
 
 import asyncio
 import os
