--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -145,6 +145,20 @@
     'at any time, after a target broke off': calm(
         request(1, 1), BROKE_OFF, OTHER_CUT
     ),
+    'at work until long after the grace period': case(
+        request(1, 7), run(1.1, 8, RunEnd.CUT)
+    ),
+    'its node was started and then stopped': Case(
+        request=request(1, 1),
+        runs=(CUT,),
+        signals=(
+            SignalRecord(host='h', kind=SignalKind.START, at_s=SIGNAL_S - 1),
+            SignalRecord(host='h', kind=SignalKind.TERM, at_s=SIGNAL_S),
+        ),
+    ),
+    'six tenths of its time used beside a configuration, not passed on': case(
+        request(1, 0.69, time_left_s=1), kind=CONFIGURATION
+    ),
     'its node used too much memory': case(
         request(1, 1), CUT, kind=SignalKind.OVER_MEMORY
     ),
