--- a/tests/site_rig/test_plans.py
+++ b/tests/site_rig/test_plans.py
@@ -42,6 +42,10 @@
         PlanEntry(at=1, kind='after_ack_kill', count=2),
         {'config_change': 1, 'node_kill': 2},
     ),
+    'kill, and more of it': (
+        PlanEntry(at=1, kind='node_kill', how='race drain'),
+        {'node_kill': 1, 'config_change': 2, 'leave': 1},
+    ),
     'freeze': (PlanEntry(at=1, kind='node_freeze'), {'node_freeze': 1}),
     'slow': (PlanEntry(at=1, kind='node_slow', share=0.3), {'node_slow': 2}),
     'release': (
@@ -251,3 +255,31 @@
         plan = planned(closing=Closing(kind='kill_all', down_s=1, how='timed'))
 
         assert plan.not_played == ('kill_all timed at 32 s',)
+
+
+class TestDrawn:
+    """Days that are drawn from a site's troubles."""
+
+    TROUBLES = tuple(
+        PlanEntry(kind=kind)
+        for kind in ('platform_slow', 'node_kill', 'release', 'node_freeze')
+    )
+
+    def drawn(self, seed: int) -> Plan:
+        site = small_site(troubles=self.TROUBLES)
+        spread = Spread(
+            site=site, hosts=small_hosts(), length_s=LENGTH_S, seed=seed
+        )
+        return plan_of(spread, 'drawn')
+
+    # Guards against a drawn day that leaves its troubles out.
+    def test_all_are_played(self):
+        played = counts(self.drawn(1))
+
+        assert played['roll_term'] == 6
+        assert {'store_gate', 'node_kill', 'leave', 'node_freeze'} < set(played)
+
+    # Guards against a seed that does not repeat its day.
+    def test_seeds(self):
+        assert self.drawn(1) == self.drawn(1)
+        assert self.drawn(1) != self.drawn(2)
--- a/tools/site_rig/node_words.py
+++ b/tools/site_rig/node_words.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from types import MappingProxyType
 
+from tools.site_rig.companions import COMPANIONS, companions
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
@@ -42,6 +43,7 @@
 def _kill(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     is_dark = bool({'power', 'off'} & entry.hows)
     down_s = (entry.for_s or _USUAL_S) if is_dark else _DOWN_S
+    yield from companions(spread, entry, entry.at + down_s)
     for host in spread.machines(entry, 0.6 if _is_herd(entry) else 0.1):
         yield Disruption(
             at_s=entry.at,
@@ -96,8 +98,10 @@
     {
         'roll_term': Word(maker=_roll, hows=frozenset(('busy', 'remove'))),
         'hup': Word(maker=_hup),
-        'node_kill': Word(maker=_kill, hows=frozenset(('power',))),
-        'herd_kill': Word(maker=_kill, hows=frozenset(('power', 'off'))),
+        'node_kill': Word(maker=_kill, hows=COMPANIONS | frozenset(('power',))),
+        'herd_kill': Word(
+            maker=_kill, hows=COMPANIONS | frozenset(('power', 'off'))
+        ),
         'after_ack_kill': Word(
             maker=_kill_after_ack, hows=frozenset(('kill', 'timed'))
         ),
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from tools.site_rig.answer_ways import endless_way
+from tools.site_rig.drawn_plans import DRAWN, drawn_plan
 from tools.site_rig.endless import ENDLESS
 from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.site import Closing, PlanEntry, Site
@@ -161,23 +162,29 @@
 def plan_of(spread: Spread, day: str) -> Plan:
     """Return the plan of a day by its name."""
     planner = Planner(spread=spread)
-    own = OWN_PLANS.get(day)
-    if own is not None:
-        return planner.plan(own, None)
+    if day == DRAWN:
+        return planner.plan(drawn_plan(spread.site, spread.rng), None)
+    if _is_own(day):
+        return planner.plan(OWN_PLANS[day], None)
     found = spread.site.day_named(day)
     return planner.plan(found.entries, found.closing)
 
 
 def length_of(site: Site, day: str, length_s: float) -> float:
     """Return the length of the load: what strikes at the end comes in it."""
-    if day in OWN_PLANS or site.day_named(day).closing is None:
+    if _is_own(day) or site.day_named(day).closing is None:
         return length_s
     return length_s + _CLOSING_BEFORE_END_S
 
 
 def site_of(site: Site, day: str) -> Site:
     """Return the site with the traffic of a day."""
-    if day in OWN_PLANS:
+    if _is_own(day):
         return site
     traffic = site.day_named(day).traffic or site.traffic
     return msgspec.structs.replace(site, traffic=traffic)
+
+
+def _is_own(day: str) -> bool:
+    """Tell whether a day is one of the rig's own."""
+    return day == DRAWN or day in OWN_PLANS
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -131,8 +131,8 @@
 ):
     """A word of a day's plan or faults; ``None`` is the word's usual value."""
 
-    at: float
     kind: str
+    at: float = 0
     how: str = ''
     share: float | None = None
     count: int | None = None
@@ -209,6 +209,7 @@
     classes: tuple[RequestClass, ...]
     traffic: tuple[Traffic, ...]
     bounds: Bounds
+    troubles: tuple[PlanEntry, ...] = ()
     net: Net = Net()
     day: tuple[Day, ...]
 
--- a/tools/site_rig/store_words.py
+++ b/tools/site_rig/store_words.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
+from tools.site_rig.companions import COMPANIONS, companions
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
-from tools.site_rig.target_words import leaving
 
 _USUAL_S = 5.0
 _SLOW_RATIO = 50.0
@@ -24,10 +24,6 @@
 _HOWS = ('silent', 'busy', 'reset')
 # Watches hear nothing for as long before the history is dropped.
 _DEAF_S = 1.0
-# A target leaves soon after, or in the gap before the history is dropped.
-_LEAVES_AFTER_S = 0.5
-# A change is sent to a machine as it returns.
-_MEETS_BEFORE_S = 0.1
 
 
 def _down(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
@@ -73,7 +69,10 @@
 def _at_gates(
     spread: Spread, entry: PlanEntry, hosts, how: str, ratio: float = 0
 ) -> Iterator[Disruption]:
-    yield from _around(spread, entry)
+    for_s = entry.for_s or _USUAL_S
+    is_gap = entry.kind == 'platform_compact'
+    leaves_s = entry.at if is_gap else None
+    yield from companions(spread, entry, entry.at + for_s, leaves_s)
     for host in hosts:
         yield Disruption(
             at_s=entry.at,
@@ -81,36 +80,22 @@
             host=host.name,
             how=how,
             ratio=ratio,
-            for_s=entry.for_s or _USUAL_S,
+            for_s=for_s,
         )
 
 
-def _around(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
-    """Make what ``meet``, ``race`` and ``drain`` add near the end."""
-    ends_s = entry.at + (entry.for_s or _USUAL_S)
-    changes = ('meet' in entry.hows) + 2 * ('race' in entry.hows)
-    for _ in range(changes):
-        yield Disruption(
-            at_s=ends_s - _MEETS_BEFORE_S, kind='config_change', how='route'
-        )
-    if 'drain' in entry.hows:
-        is_gap = entry.kind == 'platform_compact'
-        at_s = entry.at if is_gap else ends_s
-        for host in spread.servers(entry, _CUT_SHARE)[:1]:
-            yield leaving(spread, host, at_s + _LEAVES_AFTER_S)
-
-
 _BETWEEN_NODES = '(between nodes)'
-_AROUND = frozenset(('meet', 'race', 'drain'))
 STORE_WORDS = MappingProxyType(
     {
         'platform_down': Word(
-            maker=_down, hows=_AROUND | frozenset((*_HOWS, 'nodes'))
+            maker=_down, hows=COMPANIONS | frozenset((*_HOWS, 'nodes'))
         ),
         'platform_slow': Word(maker=_slow),
         'platform_lost': Word(maker=_lost, hows=frozenset(('late',))),
-        'platform_compact': Word(maker=_compact, hows=_AROUND),
-        'node_cut': Word(maker=_cut, hows=_AROUND, lacks=_BETWEEN_NODES),
-        'core_cut': Word(maker=_cut_core, hows=_AROUND, lacks=_BETWEEN_NODES),
+        'platform_compact': Word(maker=_compact, hows=COMPANIONS),
+        'node_cut': Word(maker=_cut, hows=COMPANIONS, lacks=_BETWEEN_NODES),
+        'core_cut': Word(
+            maker=_cut_core, hows=COMPANIONS, lacks=_BETWEEN_NODES
+        ),
     }
 )
