Free refused messages before the books do

What callers saw: a target that answers without end took the node beside it far over its memory_mb; where the platform enforces it the process is killed, and all requests of its callers end with it.

Cause: httptools and the parser refer to each other, so what a parser held stayed until the garbage collector ran, while its connection gave the share of the budget back at once. The same on the server's side for half an upload whose client leaves (2 MB each in the test). A refused request also held what was received by its error: the error's traceback led to the variable that held the error, and its cause had it as context.

Change: the owner closes the parser when the connection ends, and only then gives the share back; a closed parser drops the message and the reference to httptools. The reader of requests closes it as soon as nothing more is to be parsed. Errors are raised by kind, not kept.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -19,7 +19,7 @@
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.numbers import parse_count
 from fescueknot.httpio.paced_writer import PacedWriter
-from fescueknot.httpio.parsing import (
+from fescueknot.httpio.response_parser import (
     MAX_RESPONSE_BODY_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
     ResponseParser,
@@ -100,6 +100,7 @@
         if final_response is not None:
             self._deliver((final_response,))
         self._fail(f'connection lost: {exc!r}')
+        self._parser.close()
         self._share.resize(0)
 
     def eof_received(self) -> bool:
--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -1,5 +1,7 @@
 """What the parsers of requests and responses have in common."""
 
+import httptools
+
 from fescueknot.httpio.messages import HEADER_OVERHEAD_BYTES, Body
 
 CHARSET = 'latin-1'
@@ -32,6 +34,7 @@
     """
 
     def __init__(self) -> None:
+        self._parser: httptools.HttpParser | None = None
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._head_bytes = 0
@@ -44,9 +47,14 @@
         overhead_bytes = len(self._headers) * HEADER_OVERHEAD_BYTES
         return self._head_bytes + overhead_bytes + len(self._body)
 
-    def discard(self) -> None:
-        """Drop what was received of an unfinished message."""
+    def close(self) -> None:
+        """Free all memory; nothing is parsed any more.
+
+        ``httptools`` and this object refer to each other: what is not dropped
+        here is held until the garbage collector runs, which may be late.
+        """
         self._clear()
+        self._parser = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header and count its bytes."""
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -1,4 +1,7 @@
-"""Incremental parsing of HTTP messages with the library ``httptools``."""
+"""Incremental parsing of HTTP requests with the library ``httptools``."""
+
+import functools
+from collections.abc import Callable, Mapping
 
 import httptools
 
@@ -9,21 +12,11 @@
     MalformedError,
     MessageParser,
 )
-from fescueknot.httpio.messages import Limits, Request, Response
+from fescueknot.httpio.messages import Limits, Request
 
-_FIRST_FINAL_STATUS = 200
 _TUNNEL_METHOD = b'CONNECT'
-# Default limits. They bound the memory that a server can make a client use for
-# one response.
-MAX_RESPONSE_HEAD_BYTES = 65_536
-MAX_RESPONSE_BODY_BYTES = 16_777_216
-_MAX_INTERIM_RESPONSES = 16
 # Requests are parsed in pieces, and the limits checked after each.
 _FEED_BYTES = 4096
-# Limits on the parts of a body, as each takes processor time: parts regardless
-# of its size, and bytes for each further part.
-_MAX_SMALL_PARTS = 65_536
-_MIN_BYTES_PER_PART = 64
 
 
 class RequestParser(MessageParser):
@@ -40,7 +33,7 @@
         self._received_head_bytes = 0
         self._complete: list[tuple[Request, bool]] = []
         self._parser = httptools.HttpRequestParser(self)
-        self._parse_error: Exception | None = None
+        self._refusal: Callable[[], Exception] = MalformedError
 
     def apply_limits(self, limits: Limits) -> None:
         """Set the limits on the sizes of requests."""
@@ -57,6 +50,12 @@
             self._feed_piece(received[start : start + _FEED_BYTES])
         return self.pop_complete()
 
+    def close(self) -> None:
+        """Free all memory; nothing is parsed any more."""
+        super().close()
+        self._complete = []
+        self._target = b''
+
     def pop_complete(self) -> list[tuple[Request, bool]]:
         """Return the complete requests that were not returned yet."""
         complete = self._complete
@@ -90,15 +89,15 @@
         )
         for name, value in self._headers:
             if name == 'content-length' and int(value) > self.max_body_bytes:
-                self._refuse(BodyTooLargeError(value))
-        if self._parser.should_upgrade() and self._has_body():
-            self._refuse(MalformedError('a body that ``httptools`` skips'))
+                self._refuse(BodyTooLargeError, value)
+        if self._parser.should_upgrade() and _has_body(dict(self._headers)):
+            self._refuse(MalformedError, 'a body that ``httptools`` skips')
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body and check its size."""
         super().on_body(body)
         if len(self._body) > self.max_body_bytes:
-            self._refuse(BodyTooLargeError(str(len(self._body))))
+            self._refuse(BodyTooLargeError, str(len(self._body)))
 
     def on_message_complete(self) -> None:
         """Add the complete request."""
@@ -119,7 +118,7 @@
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
-            raise self._parse_error or MalformedError(str(error)) from error
+            raise self._refusal() from error
         except httptools.HttpParserError as error:
             raise MalformedError(str(error)) from error
         except httptools.HttpParserUpgrade as upgrade:
@@ -127,12 +126,6 @@
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
 
-    def _has_body(self) -> bool:
-        headers = dict(self._headers)
-        if 'transfer-encoding' in headers:
-            return True
-        return int(headers.get('content-length', 0)) > 0
-
     def _ignore_upgrade(self, rest: bytes) -> None:
         """Go on behind a request that asked for another protocol.
 
@@ -161,125 +154,19 @@
 
     def _check_head(self, received_bytes: int) -> None:
         if max(self._head_bytes, received_bytes) > self.max_header_bytes:
-            self._refuse(HeadersTooLargeError(str(self._head_bytes)))
-
-    def _refuse(self, error: Exception) -> None:
-        self._parse_error = error
-        raise error
-
-
-class ResponseParser(MessageParser):
-    """Parses the bytes of a server into responses.
-
-    A response that exceeds the limits of its head, body or framing is
-    malformed. Set ``to_head_request`` if the next response answers a HEAD
-    request and thus has no body.
-    """
-
-    def __init__(
-        self,
-        *,
-        max_head_bytes: int = MAX_RESPONSE_HEAD_BYTES,
-        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
-    ) -> None:
-        super().__init__()
-        self.to_head_request = False
-        self._max_head_bytes = max_head_bytes
-        self._max_body_bytes = max_body_bytes
-        self._interim_count = 0
-        self._reason = b''
-        self._reads_until_close = False
-        self._has_begun = False
-        self._complete: list[Response] = []
-        self._parser = httptools.HttpResponseParser(self)
-
-    @property
-    def is_between_messages(self) -> bool:
-        """Return whether no response is partly received."""
-        return not self._has_begun
-
-    def feed(self, received: bytes) -> list[Response]:
-        """Return the complete responses; raise :class:`MalformedError`."""
-        try:
-            self._parser.feed_data(received)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise MalformedError(str(error)) from error
-        if self._has_begun:
-            self._check_framing(len(received), self._max_head_bytes)
-        return self.pop_complete()
-
-    def pop_complete(self) -> list[Response]:
-        """Return the complete responses that were not returned yet."""
-        complete = self._complete
-        self._complete = []
-        return complete
+            self._refuse(HeadersTooLargeError, str(self._head_bytes))
 
-    def finish(self) -> Response | None:
-        """Return the response whose body ends with the connection, if any."""
-        if not (self._has_begun and self._reads_until_close):
-            return None
-        return self._response(closing=True)
+    def _refuse(self, kind: type[Exception], detail: str) -> None:
+        """Raise an error of a kind, through ``httptools`` too.
 
-    def on_message_begin(self) -> None:
-        """Reset the state for a new response."""
-        self._clear()
-        self._reason = b''
-        self._reads_until_close = False
-        self._has_begun = True
-
-    def on_status(self, status: bytes) -> None:
-        """Add a part of the reason phrase."""
-        self._reason += status
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header and check the size of the head."""
-        super().on_header(name, value)
-        if self._head_bytes > self._max_head_bytes:
-            raise MalformedError(f'a head of {self._head_bytes} bytes')
-
-    def on_body(self, body: bytes) -> None:
-        """Add a part of the body and check its size."""
-        super().on_body(body)
-        body_bytes = len(self._body)
-        if body_bytes > self._max_body_bytes:
-            raise MalformedError(f'a body of {body_bytes} bytes')
-        further_parts = self._body_parts - _MAX_SMALL_PARTS
-        if further_parts * _MIN_BYTES_PER_PART > body_bytes:
-            raise MalformedError(f'a body in {self._body_parts} parts')
-
-    def on_headers_complete(self) -> None:
-        """Find out whether the body ends only with the connection."""
-        names = {name for name, _ in self._headers}
-        framing_headers = names & {'content-length', 'transfer-encoding'}
-        self._reads_until_close = not framing_headers
-        if self.to_head_request:
-            self._complete.append(self._response(closing=True))
-
-    def on_message_complete(self) -> None:
-        """Add the complete response, unless it is an interim response."""
-        self._has_begun = False
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
-            self._count_interim()
-            return
-        self._interim_count = 0
-        closing = not self._parser.should_keep_alive()
-        self._complete.append(self._response(closing=closing))
+        An error that is kept here, or in a variable, would refer to itself by
+        its traceback and hold what was received until the collector runs.
+        """
+        self._refusal = functools.partial(kind, detail)
+        raise kind(detail)
 
-    def _count_interim(self) -> None:
-        self._interim_count += 1
-        if self._interim_count > _MAX_INTERIM_RESPONSES:
-            raise MalformedError(f'{self._interim_count} interim responses')
 
-    def _response(self, *, closing: bool) -> Response:
-        response = Response(
-            status=self._parser.get_status_code(),
-            reason=self._reason.decode(CHARSET),
-            headers=tuple(self._headers),
-            body=self._whole_body(),
-            closing=closing,
-        )
-        self._clear()
-        return response
+def _has_body(headers: Mapping[str, str]) -> bool:
+    if 'transfer-encoding' in headers:
+        return True
+    return int(headers.get('content-length', 0)) > 0
--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -80,12 +80,13 @@
         self._share.resize(held_bytes + unread_bytes)
 
     def discard(self) -> None:
-        """Drop what was received and is no complete request."""
-        self._parser.discard()
+        """Drop what is no complete request; nothing more is to be read."""
+        self._parser.close()
         self._unparsed.clear()
 
     def release(self) -> None:
-        """Give back all that was counted."""
+        """Drop all that was received; the room is given back only then."""
+        self.discard()
         self._share.resize(0)
 
     def _next_bytes(self, received: bytes) -> bytes:
--- /dev/null
+++ b/fescueknot/httpio/response_parser.py
@@ -0,0 +1,145 @@
+"""Incremental parsing of HTTP responses with the library ``httptools``."""
+
+import httptools
+
+from fescueknot.httpio.message_parser import (
+    CHARSET,
+    MalformedError,
+    MessageParser,
+)
+from fescueknot.httpio.messages import Response
+
+_FIRST_FINAL_STATUS = 200
+# Default limits. They bound the memory that a server can make a client use for
+# one response.
+MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_RESPONSE_BODY_BYTES = 16_777_216
+_MAX_INTERIM_RESPONSES = 16
+# Limits on the parts of a body, as each takes processor time: parts regardless
+# of its size, and bytes for each further part.
+_MAX_SMALL_PARTS = 65_536
+_MIN_BYTES_PER_PART = 64
+
+
+class ResponseParser(MessageParser):
+    """Parses the bytes of a server into responses.
+
+    A response that exceeds the limits of its head, body or framing is
+    malformed. Set ``to_head_request`` if the next response answers a HEAD
+    request and thus has no body.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_head_bytes: int = MAX_RESPONSE_HEAD_BYTES,
+        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
+    ) -> None:
+        super().__init__()
+        self.to_head_request = False
+        self._max_head_bytes = max_head_bytes
+        self._max_body_bytes = max_body_bytes
+        self._interim_count = 0
+        self._reason = b''
+        self._reads_until_close = False
+        self._has_begun = False
+        self._complete: list[Response] = []
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def is_between_messages(self) -> bool:
+        """Return whether no response is partly received."""
+        return not self._has_begun
+
+    def feed(self, received: bytes) -> list[Response]:
+        """Return the complete responses; raise :class:`MalformedError`."""
+        try:
+            self._parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise MalformedError(str(error)) from error
+        if self._has_begun:
+            self._check_framing(len(received), self._max_head_bytes)
+        return self.pop_complete()
+
+    def close(self) -> None:
+        """Free all memory; nothing is parsed any more."""
+        super().close()
+        self._complete = []
+        self._reason = b''
+        self._has_begun = False
+
+    def pop_complete(self) -> list[Response]:
+        """Return the complete responses that were not returned yet."""
+        complete = self._complete
+        self._complete = []
+        return complete
+
+    def finish(self) -> Response | None:
+        """Return the response whose body ends with the connection, if any."""
+        if not (self._has_begun and self._reads_until_close):
+            return None
+        return self._response(closing=True)
+
+    def on_message_begin(self) -> None:
+        """Reset the state for a new response."""
+        self._clear()
+        self._reason = b''
+        self._reads_until_close = False
+        self._has_begun = True
+
+    def on_status(self, status: bytes) -> None:
+        """Add a part of the reason phrase."""
+        self._reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header and check the size of the head."""
+        super().on_header(name, value)
+        if self._head_bytes > self._max_head_bytes:
+            raise MalformedError(f'a head of {self._head_bytes} bytes')
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body and check its size."""
+        super().on_body(body)
+        body_bytes = len(self._body)
+        if body_bytes > self._max_body_bytes:
+            raise MalformedError(f'a body of {body_bytes} bytes')
+        further_parts = self._body_parts - _MAX_SMALL_PARTS
+        if further_parts * _MIN_BYTES_PER_PART > body_bytes:
+            raise MalformedError(f'a body in {self._body_parts} parts')
+
+    def on_headers_complete(self) -> None:
+        """Find out whether the body ends only with the connection."""
+        names = {name for name, _ in self._headers}
+        framing_headers = names & {'content-length', 'transfer-encoding'}
+        self._reads_until_close = not framing_headers
+        if self.to_head_request:
+            self._complete.append(self._response(closing=True))
+
+    def on_message_complete(self) -> None:
+        """Add the complete response, unless it is an interim response."""
+        self._has_begun = False
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            self._count_interim()
+            return
+        self._interim_count = 0
+        closing = not self._parser.should_keep_alive()
+        self._complete.append(self._response(closing=closing))
+
+    def _count_interim(self) -> None:
+        self._interim_count += 1
+        if self._interim_count > _MAX_INTERIM_RESPONSES:
+            raise MalformedError(f'{self._interim_count} interim responses')
+
+    def _response(self, *, closing: bool) -> Response:
+        response = Response(
+            status=self._parser.get_status_code(),
+            reason=self._reason.decode(CHARSET),
+            headers=tuple(self._headers),
+            body=self._whole_body(),
+            closing=closing,
+        )
+        self._clear()
+        return response
--- a/tests/httpio/test_buffer_budget.py
+++ b/tests/httpio/test_buffer_budget.py
@@ -15,7 +15,8 @@
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Limits, Request, Response
-from fescueknot.httpio.parsing import RequestParser, ResponseParser
+from fescueknot.httpio.parsing import RequestParser
+from fescueknot.httpio.response_parser import ResponseParser
 from fescueknot.httpio.server import Server
 from fescueknot.identity import Address
 
--- a/tests/httpio/test_failing_handlers.py
+++ b/tests/httpio/test_failing_handlers.py
@@ -7,7 +7,7 @@
 from fescueknot.httpio.connection import ServerConnection
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Response
-from fescueknot.httpio.parsing import ResponseParser
+from fescueknot.httpio.response_parser import ResponseParser
 from tests.httpio.fake_transport import FakeTransport, NoOpOwner
 from tests.relay.simulated_loop import run_simulated
 
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueknot.httpio import message_parser, parsing
+from fescueknot.httpio import message_parser, parsing, response_parser
 
 
 def _parser(max_header_bytes=200, max_body_bytes=10):
@@ -91,21 +91,21 @@
             b'HTTP/1.1 103 Early\r\n\r\n'
             b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
         )
-        found = parsing.ResponseParser().feed(raw)
+        found = response_parser.ResponseParser().feed(raw)
         assert [response.status for response in found] == [200]
 
     def test_a_response_without_length_ends_with_the_connection(self):
-        parser = parsing.ResponseParser()
+        parser = response_parser.ResponseParser()
         assert parser.feed(b'HTTP/1.1 200 OK\r\n\r\nabc') == []
         assert parser.finish().body == b'abc'
 
     def test_a_truncated_response_with_a_length_is_incomplete(self):
-        parser = parsing.ResponseParser()
+        parser = response_parser.ResponseParser()
         parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc')
         assert parser.finish() is None
 
     def test_a_truncated_chunked_response_is_incomplete(self):
-        parser = parsing.ResponseParser()
+        parser = response_parser.ResponseParser()
         parser.feed(
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc'
         )
@@ -113,10 +113,10 @@
 
     def test_bytes_that_are_no_response_are_malformed(self):
         with pytest.raises(message_parser.MalformedError):
-            parsing.ResponseParser().feed(b'\x00\x01garbage\r\n\r\n')
+            response_parser.ResponseParser().feed(b'\x00\x01garbage\r\n\r\n')
 
     def test_a_response_to_head_has_no_body(self):
-        parser = parsing.ResponseParser()
+        parser = response_parser.ResponseParser()
         parser.to_head_request = True
         found = parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n')
         assert (found[0].body, found[0].closing) == (b'', True)
--- a/tests/relay/test_odd_requests.py
+++ b/tests/relay/test_odd_requests.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from fescueknot.httpio.connection import ServerConnection
-from fescueknot.httpio.parsing import ResponseParser
+from fescueknot.httpio.response_parser import ResponseParser
 from tests.httpio.fake_transport import FakeTransport, NoOpOwner
 from tests.relay.caller_handlers import ANSWERED, FakePeers, make_handler
 from tests.relay.simulated_loop import run_simulated
--- a/tools/soak/connection.py
+++ b/tools/soak/connection.py
@@ -10,7 +10,7 @@
 from fescueknot.httpio.errors import NotSentError
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
-from fescueknot.httpio.parsing import ResponseParser
+from fescueknot.httpio.response_parser import ResponseParser
 from fescueknot.identity import Address
 from tools.soak.lost_requests import Ending
 
