--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -100,15 +100,16 @@
     def end_input(self) -> None:
         """Drop the beginning of a request whose rest will not come."""
         if not self._unparsed:
-            self._parser.discard()
+            self._parser.close()
 
     def discard(self) -> None:
-        """Drop what was received and is no complete request."""
-        self._parser.discard()
+        """Drop what is no complete request; nothing more is to be read."""
+        self._parser.close()
         self._unparsed.clear()
 
     def release(self) -> None:
-        """Give back all that was counted."""
+        """Drop all that was received; the room is given back only then."""
+        self.discard()
         self._share.resize(0)
 
     def _next_bytes(self, received: bytes) -> bytes:
