Refuse empty lines without end

Cause: httptools skips empty lines before a message and reports no message, so neither limit counted them, in both directions. A client could also keep a connection by them for ever, as each byte restarts the idle time.

Change: up to 4096 bytes of empty lines between two messages are ignored, as RFC 9112, 2.2 asks for; more is malformed: 502 or 400. Interim responses and messages that begin in the same piece don't count.

--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -10,6 +10,8 @@
 # regardless of its size. A chunk of one byte has five bytes of framing.
 _MAX_FRAMING_PER_BODY_BYTE = 8
 _MAX_FRAMING_BYTES = 16_384
+# Empty lines before a message are ignored (RFC 9112, 2.2), up to this size.
+_MAX_EMPTY_BYTES = 4096
 # A longer body is handed on without a copy.
 _MAX_COPIED_BODY_BYTES = 65_536
 
@@ -40,6 +42,8 @@
         self._head_bytes = 0
         self._body_parts = 0
         self._received_bytes = 0
+        self._empty_bytes = 0
+        self._messages_begun = 0
 
     @property
     def held_bytes(self) -> int:
@@ -56,6 +60,12 @@
         self._clear()
         self._parser = None
 
+    def on_message_begin(self) -> None:
+        """Reset the state for a new message."""
+        self._clear()
+        self._empty_bytes = 0
+        self._messages_begun += 1
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header and count its bytes."""
         self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
@@ -80,6 +90,16 @@
             return self._body
         return bytes(self._body)
 
+    def _check_empty(self, received_bytes: int) -> None:
+        """Limit the empty lines between two messages.
+
+        They are part of no message: without a limit, a peer could send them
+        for ever.
+        """
+        self._empty_bytes += received_bytes
+        if self._empty_bytes > _MAX_EMPTY_BYTES:
+            raise MalformedError(f'{self._empty_bytes} bytes of empty lines')
+
     def _check_framing(self, received_bytes: int, max_head_bytes: int) -> None:
         """Limit the bytes of chunk framing and trailers.
 
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -64,7 +64,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        self._clear()
+        super().on_message_begin()
         self._target = b''
         self._received_head_bytes = 0
         self.has_begun = True
@@ -115,6 +115,8 @@
 
     def _feed_piece(self, piece: bytes) -> None:
         complete_before = len(self._complete)
+        is_between = not self.has_begun
+        begun_before = self._messages_begun
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
@@ -125,6 +127,8 @@
             self._ignore_upgrade(piece[upgrade.args[0] :])
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
+        elif is_between and self._messages_begun == begun_before:
+            self._check_empty(len(piece))
 
     def _ignore_upgrade(self, rest: bytes) -> None:
         """Go on behind a request that asked for another protocol.
--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -53,6 +53,8 @@
 
     def feed(self, received: bytes) -> list[Response]:
         """Return the complete responses; raise :class:`MalformedError`."""
+        was_between = not self._has_begun
+        begun_before = self._messages_begun
         try:
             self._parser.feed_data(received)
         except (
@@ -62,6 +64,8 @@
             raise MalformedError(str(error)) from error
         if self._has_begun:
             self._check_framing(len(received), self._max_head_bytes)
+        elif was_between and self._messages_begun == begun_before:
+            self._check_empty(len(received))
         return self.pop_complete()
 
     def close(self) -> None:
@@ -85,7 +89,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
-        self._clear()
+        super().on_message_begin()
         self._reason = b''
         self._reads_until_close = False
         self._has_begun = True
--- a/tests/httpio/test_endless_messages.py
+++ b/tests/httpio/test_endless_messages.py
@@ -47,6 +47,13 @@
     'size of a chunk': (_OK + _CHUNKED, b'0'),
     'trailers': (_OK + _CHUNKED + b'0\r\n', b'X: y\r\n'),
     'one trailer': (_OK + _CHUNKED + b'0\r\nX: ', b'y'),
+    # Guards against callers that read them until their time limit.
+    'empty lines': (b'', b'\r\n'),
+    'line feeds': (b'', b'\n'),
+    'empty lines behind interim responses': (
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        b'\r\n',
+    ),
 }
 _HEAD = b'POST / HTTP/1.1\r\nHost: x\r\n'
 _REQUESTS = {
@@ -59,6 +66,12 @@
     'size of a chunk': (_HEAD + _CHUNKED, b'0'),
     'trailers': (_HEAD + _CHUNKED + b'0\r\n', b'X: y\r\n'),
     'one trailer': (_HEAD + _CHUNKED + b'0\r\nX: ', b'y'),
+    # Guards against clients that keep a connection by them for ever.
+    'empty lines': (b'', b'\r\n'),
+    'line feeds': (b'', b'\n'),
+}
+_BEHIND_A_REQUEST = {
+    'empty lines behind a request': (b'GET / HTTP/1.1\r\n\r\n', b'\r\n'),
 }
 
 
@@ -141,13 +154,14 @@
 class TestEndlessRequests:
     """Requests that never end."""
 
-    @pytest.mark.parametrize('kind', _REQUESTS)
+    @pytest.mark.parametrize('kind', [*_REQUESTS, *_BEHIND_A_REQUEST])
     def test_the_connection_is_closed(self, kind):
         async def scenario():
             server = Server(handler=_Echo(), report_error=lambda error: None)
             await server.listen('127.0.0.1', 0)
             _, writer = await asyncio.open_connection('127.0.0.1', server.port)
-            return await _send_until_closed(writer, *_REQUESTS[kind])
+            sent = {**_REQUESTS, **_BEHIND_A_REQUEST}[kind]
+            return await _send_until_closed(writer, *sent)
 
         assert _run(scenario) < _SOCKET_BUFFER_BYTES
 
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -156,3 +156,25 @@
         parser.feed(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nA: ')
         with pytest.raises(message_parser.HeadersTooLargeError):
             parser.feed(b'b' * 10_000)
+
+
+class TestEmptyLines:
+    """Empty lines before a message are no part of it."""
+
+    def test_some_before_each_request_are_ignored(self):
+        request = b'\r\n' * 1000 + b'GET / HTTP/1.1\r\n\r\n'
+        assert len(_parser().feed(request * 9)) == 9
+
+    def test_some_before_each_response_are_ignored(self):
+        parser = response_parser.ResponseParser()
+        answer = b'\r\n' * 1000 + b'HTTP/1.1 204 No Content\r\n\r\n'
+        found = [parser.feed(part) for part in (answer[:1500], answer[1500:])]
+        assert [len(responses) for responses in found] == [0, 1]
+        assert len(parser.feed(answer * 9)) == 9
+
+    def test_long_interim_responses_are_no_empty_lines(self):
+        parser = response_parser.ResponseParser()
+        hints = b'HTTP/1.1 103 Early Hints\r\nLink: ' + b'x' * 9000
+        assert not parser.feed(hints + b'\r\n\r\n')
+        assert not parser.feed(hints + b'\r\n\r\n')
+        assert len(parser.feed(b'HTTP/1.1 204 No Content\r\n\r\n')) == 1
--- a/tests/platform/test_memory_of_a_node.py
+++ b/tests/platform/test_memory_of_a_node.py
@@ -14,7 +14,9 @@
 from tests.platform.endless_rig import KINDS, MEMORY_MB, NodeBesideTarget
 
 _CALLS_EACH = 4
-_WORST = ('length', 'chunks', 'until close')
+# The longest body that is taken, and what the kernel holds at both ends.
+_READ_MB = 30
+_WORST = ('length', 'chunks', 'until close', 'empty lines')
 _CHOSEN = tuple(KINDS) if os.environ.get('ENDLESS_KINDS') == 'all' else _WORST
 
 
@@ -35,8 +37,9 @@
                     f' {node.target.answers} answers, {sent_mb:.0f} MB sent,'
                     f' {dict(node.statuses)}\n'
                 )
-                return node.peak_mb(), node.target.answers
+                return node.peak_mb(), node.target.answers, sent_mb
 
-        peak_mb, answers = asyncio.run(scenario())
+        peak_mb, answers, sent_mb = asyncio.run(scenario())
         assert answers >= _CALLS_EACH
         assert peak_mb < MEMORY_MB
+        assert sent_mb < answers * _READ_MB
