Refuse a response that declares too much by its head

What callers saw: 502 for a length of 99,999,999,999, but only after the node had read 16 MiB of it; that much room was not there for others meanwhile.

Cause: the limit was applied to what had arrived.

Change: the head is refused, unless the response has no body (HEAD, 204, 304). The reason of a refusal now gets into the log: it read "User callback error".

Test that failed before: test_parsing, test_one_is_refused_by_its_head.

--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -10,6 +10,9 @@
 from fescueknot.httpio.messages import Response
 
 _FIRST_FINAL_STATUS = 200
+# They may tell the length of a body that they don't send.
+_BODYLESS_STATUSES = frozenset((204, 304))
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 # Default limits. They bound the memory that a server can make a client use for
 # one response.
 MAX_RESPONSE_HEAD_BYTES = 65_536
@@ -61,7 +64,8 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            raise MalformedError(str(error)) from error
+            # What a method of this class has raised is its context.
+            raise MalformedError(str(error.__context__ or error)) from error
         if self._has_begun:
             self._check_framing(len(received), self._max_head_bytes)
         elif was_between and self._messages_begun == begun_before:
@@ -108,19 +112,20 @@
         """Add a part of the body and check its size."""
         super().on_body(body)
         body_bytes = len(self._body)
-        if body_bytes > self._max_body_bytes:
-            raise MalformedError(f'a body of {body_bytes} bytes')
+        self._check_body(body_bytes)
         further_parts = self._body_parts - _MAX_SMALL_PARTS
         if further_parts * _MIN_BYTES_PER_PART > body_bytes:
             raise MalformedError(f'a body in {self._body_parts} parts')
 
     def on_headers_complete(self) -> None:
-        """Find out whether the body ends only with the connection."""
-        names = {name for name, _ in self._headers}
-        framing_headers = names & {'content-length', 'transfer-encoding'}
+        """Find out where the body ends; refuse one that is too long."""
+        headers = dict(self._headers)
+        framing_headers = headers.keys() & _FRAMING_HEADERS
         self._reads_until_close = not framing_headers
         if self.to_head_request:
             self._complete.append(self._response(closing=True))
+        elif self._parser.get_status_code() not in _BODYLESS_STATUSES:
+            self._check_body(int(headers.get('content-length', 0)))
 
     def on_message_complete(self) -> None:
         """Add the complete response, unless it is an interim response."""
@@ -132,6 +137,10 @@
         closing = not self._parser.should_keep_alive()
         self._complete.append(self._response(closing=closing))
 
+    def _check_body(self, body_bytes: int) -> None:
+        if body_bytes > self._max_body_bytes:
+            raise MalformedError(f'a body of {body_bytes} bytes')
+
     def _count_interim(self) -> None:
         self._interim_count += 1
         if self._interim_count > _MAX_INTERIM_RESPONSES:
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -178,3 +178,36 @@
         assert not parser.feed(hints + b'\r\n\r\n')
         assert not parser.feed(hints + b'\r\n\r\n')
         assert len(parser.feed(b'HTTP/1.1 204 No Content\r\n\r\n')) == 1
+
+
+class TestDeclaredLengths:
+    """Responses whose head says that they are too long."""
+
+    def _parser(self):
+        return response_parser.ResponseParser(max_body_bytes=100)
+
+    def test_one_is_refused_by_its_head(self):
+        # Guards against reading 16 MiB of what is going to be refused.
+        with pytest.raises(message_parser.MalformedError, match='of 101 bytes'):
+            self._parser().feed(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n'
+            )
+
+    def test_one_of_the_largest_size_is_whole(self):
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n'
+        (response,) = self._parser().feed(head + bytes(100))
+        assert len(response.body) == 100
+
+    @pytest.mark.parametrize('status', [204, 304])
+    def test_the_length_of_a_body_that_is_not_sent_is_no_limit(self, status):
+        head = f'HTTP/1.1 {status} x\r\nContent-Length: 101\r\n\r\n'
+        (response,) = self._parser().feed(head.encode())
+        assert response.status == status
+
+    def test_the_length_of_a_response_to_head_is_no_limit(self):
+        parser = self._parser()
+        parser.to_head_request = True
+        (response,) = parser.feed(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n'
+        )
+        assert response.status == 200
