Free a request with its answer, not with its connection

Seen while looking for memory that is free in the books only: each connection to a target kept the request of its last call, body and all, while it was idle and, once closed, until the garbage collector ran. Requests of 1 MB leave 1 MB each; 64 connections may be idle. Nothing of that was counted. It was not seen in a process.

Cause: the function that knows the answer to a request refers to the call, and the connection kept that function behind the end of the exchange.

Change: it goes with the future of the response.

Tried: whether asyncio.wait_for keeps an error, and so the frames with the request, in a cycle: it doesn't, the calls whose answer is lost free all.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -166,10 +166,15 @@
         try:
             return await self._response_future
         finally:
-            if not self._is_clean():
-                self.close()
-            # An idle connection is not to keep the response.
-            self._response_future = None
+            self._end_exchange()
+
+    def _end_exchange(self) -> None:
+        if not self._is_clean():
+            self.close()
+        # An idle or closed connection is not to keep the response, nor the
+        # request by the function that knows its answer.
+        self._response_future = None
+        self._accepts = None
 
     def _is_clean(self) -> bool:
         """Return whether the last exchange is complete in both directions."""
@@ -200,7 +205,10 @@
                 and not self._response_future.done()
             )
             if is_awaited and self._accepts(response):
-                self._apply_keep_alive(response)
+                self.reusable = self.reusable and not response.closing
+                timeout_s = _idle_timeout_s(response)
+                if timeout_s is not None:
+                    self.server_idle_timeout_s = timeout_s
                 self._response_future.set_result(response)
             else:
                 self.reusable = False
@@ -212,11 +220,13 @@
         ):
             self._response_future.set_exception(AnswerLostError(reason))
 
-    def _apply_keep_alive(self, response: Response) -> None:
-        if response.closing:
-            self.reusable = False
-        for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
-            name, _, seconds = part.strip().partition('=')
-            timeout_s = parse_count(seconds)
-            if name == 'timeout' and timeout_s is not None:
-                self.server_idle_timeout_s = float(timeout_s)
+
+def _idle_timeout_s(response: Response) -> float | None:
+    """Return how long the server keeps an idle connection, if it says so."""
+    timeout_s = None
+    for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
+        name, _, seconds = part.strip().partition('=')
+        count = parse_count(seconds)
+        if name == 'timeout' and count is not None:
+            timeout_s = float(count)
+    return timeout_s
