Count a header before it is complete

Seen in the code, not in a process: httptools holds the bytes of a header or trailer, and reports it once it is complete. Until then the books counted 0 or 1 byte for up to 80 KB a connection, in both directions, so that some thousand clients that each send most of one long header are over the limit.

Change: what has been received of a message counts until it is reported, at least, up to the most that httptools can hold.

Tests that failed before: test_buffer_budget, test_one_long_header_is_counted_before_it_is_complete, all four cases: 1 and 221 bytes counted of 60,000 for a request, 0 and 220 for a response.

--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -10,6 +10,8 @@
 # regardless of its size. A chunk of one byte has five bytes of framing.
 _MAX_FRAMING_PER_BODY_BYTE = 8
 _MAX_FRAMING_BYTES = 16_384
+# The most that ``httptools`` holds before it reports it.
+_MAX_UNREPORTED_BYTES = 81_920
 # Empty lines before a message are ignored (RFC 9112, 2.2), up to this size.
 _MAX_EMPTY_BYTES = 4096
 # A longer body is handed on without a copy.
@@ -49,7 +51,10 @@
     def held_bytes(self) -> int:
         """Return about how many bytes the unfinished message takes."""
         overhead_bytes = len(self._headers) * HEADER_OVERHEAD_BYTES
-        return self._head_bytes + overhead_bytes + len(self._body)
+        reported_bytes = self._head_bytes + overhead_bytes + len(self._body)
+        # ``httptools`` holds a header or trailer until it is complete.
+        received_bytes = min(self._received_bytes, _MAX_UNREPORTED_BYTES)
+        return max(reported_bytes, received_bytes)
 
     def close(self) -> None:
         """Free all memory; nothing is parsed any more.
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -30,7 +30,6 @@
         self.in_body = False
         self.expects_continue = False
         self._target = b''
-        self._received_head_bytes = 0
         self._complete: list[tuple[Request, bool]] = []
         self._parser = httptools.HttpRequestParser(self)
         self._refusal: Callable[[], Exception] = MalformedError
@@ -66,7 +65,6 @@
         """Reset the state for a new request."""
         super().on_message_begin()
         self._target = b''
-        self._received_head_bytes = 0
         self.has_begun = True
 
     def on_url(self, url: bytes) -> None:
@@ -83,6 +81,8 @@
     def on_headers_complete(self) -> None:
         """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
         self.in_body = True
+        # Counted for the framing of the body from here on.
+        self._received_bytes = 0
         self.expects_continue = any(
             name == 'expect' and value.lower() == '100-continue'
             for name, value in self._headers
@@ -153,8 +153,8 @@
             self._check_framing(received_bytes, self.max_header_bytes)
         else:
             # ``httptools`` reports a header only once it is complete.
-            self._received_head_bytes += received_bytes
-            self._check_head(self._received_head_bytes)
+            self._received_bytes += received_bytes
+            self._check_head(self._received_bytes)
 
     def _check_head(self, received_bytes: int) -> None:
         if max(self._head_bytes, received_bytes) > self.max_header_bytes:
--- a/tests/httpio/test_buffer_budget.py
+++ b/tests/httpio/test_buffer_budget.py
@@ -98,6 +98,20 @@
         used_bytes = _peak_bytes(parser, [head, b'400\r\n' + b'x' * 1024])
         assert used_bytes < 2 * parser.held_bytes
 
+    @pytest.mark.parametrize('rest', [b'X: ', _CHUNKED + b'0\r\nX: '])
+    @pytest.mark.parametrize('kind', _STARTS)
+    def test_one_long_header_is_counted_before_it_is_complete(self, kind, rest):
+        # Guards against many connections that each hold most of a head.
+        parser = _parser(kind)
+        parser.feed(_STARTS[kind] + rest)
+        parts = itertools.repeat(b'x' * 4000, 15)
+        used_bytes = _peak_bytes(parser, parts)
+        assert parser.held_bytes >= 60_000
+        assert used_bytes < 3 * parser.held_bytes
+        parser.feed(b'\r\n\r\n')
+        if kind == 'request' or 'chunked' in str(rest):
+            assert not parser.held_bytes
+
     @pytest.mark.parametrize('kind', _STARTS)
     def test_trailers_are_counted(self, kind):
         parser = _parser(kind)
