Bound the answers of the store together

Seen in the code: the store's client had a budget of its own of 134 MB, the default, beside the 0.4 of memory_mb that messages get. A store that answers without end could take both.

Change: 25 MB for all its answers at a time; one of the largest fits in, others wait for room until their time limit.

Test that failed before: test_memory_of_store_answers, 88 MB held of eight answers at a time within their time limit of 1 s; the bound is 60 MB (what is counted, the growth of buffers, and the sender's own copies).

--- a/fescueknot/platform/objects.py
+++ b/fescueknot/platform/objects.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fescueknot.httpio.buffer_budget import BufferBudget
 from fescueknot.httpio.client import Client
 from fescueknot.httpio.client_connection import ClientSettings
 from fescueknot.httpio.errors import AnswerLostError, NotSentError
@@ -49,6 +50,8 @@
     unacknowledged_timeout_s=1.5,
     max_idle_connections=3,
 )
+# Answers that the store's client holds at a time; one of the largest fits in.
+_BUFFERS_BYTES = 25_000_000
 _JSON_CONTENT_TYPE = ('content-type', 'application/json')
 _ERROR_BY_STATUS = types.MappingProxyType(
     {
@@ -69,7 +72,11 @@
     """
 
     def __init__(self, *, address: Address, era: StoreEra) -> None:
-        self._client = Client(address=address, settings=_CLIENT_SETTINGS)
+        self._client = Client(
+            address=address,
+            settings=_CLIENT_SETTINGS,
+            buffers=BufferBudget(limit_bytes=_BUFFERS_BYTES),
+        )
         self._host = ('host', str(address))
         self._era = era
 
--- /dev/null
+++ b/tests/platform/test_memory_of_store_answers.py
@@ -0,0 +1,48 @@
+"""Tests the memory of a store's client whose store answers without end."""
+
+import asyncio
+import tracemalloc
+
+from fescueknot.identity import Address
+from fescueknot.objectapi.errors import Unavailable
+from fescueknot.objectapi.store_era import StoreEra
+from fescueknot.platform.objects import PlatformStore
+
+_READS = 8
+_PEAK_BYTES = 60_000_000
+_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+_CHUNK = b'10000\r\n' + bytes(65_536) + b'\r\n'
+
+
+async def _serve(reader, writer):
+    """Send just less than is refused, so that it is all held; then wait."""
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(_HEAD)
+    for _ in range(250):
+        writer.write(_CHUNK)
+        await writer.drain()
+    await reader.read()
+    writer.close()
+
+
+class TestAnswersOfTheStore:
+    """Many reads at a time, each with an answer that never ends."""
+
+    def test_they_are_bounded_together(self):
+        # Guards against a store that takes the memory of messages as well.
+        async def scenario():
+            server = await asyncio.start_server(_serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            store = PlatformStore(
+                address=Address(host='127.0.0.1', port=port), era=StoreEra()
+            )
+            tracemalloc.start()
+            reads = [store.get(f'config/{name}') for name in range(_READS)]
+            found = await asyncio.gather(*reads, return_exceptions=True)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            return found, peak_bytes
+
+        found, peak_bytes = asyncio.run(asyncio.wait_for(scenario(), 60))
+        assert {type(error) for error in found} == {Unavailable}
+        assert peak_bytes < _PEAK_BYTES
