Refuse a listing of the store without end

Seen in the code: a store that always says that it has another page was read for ever, and the pages kept; each page has a limit, their sum had none.

Change: a listing of more than 32 MB is refused like an unreachable store. 14,000 entries take some 3.5 MB (worked out in docs/CAPACITY.md).

Test that failed before: test_memory_of_store_answers, test_one_that_never_ends_is_refused (60 pages of 1 MB were all taken).

--- a/fescueknot/platform/objects.py
+++ b/fescueknot/platform/objects.py
@@ -52,6 +52,8 @@
 )
 # Answers that the store's client holds at a time; one of the largest fits in.
 _BUFFERS_BYTES = 25_000_000
+# All pages of a listing; 14,000 entries take some 3.5 MB (docs/CAPACITY.md).
+_MAX_LISTING_BYTES = 32_000_000
 _JSON_CONTENT_TYPE = ('content-type', 'application/json')
 _ERROR_BY_STATUS = types.MappingProxyType(
     {
@@ -84,10 +86,14 @@
         """Return all objects of a kind."""
         pages: list[Page] = []
         eras: set[int] = set()
+        size_bytes = 0
         after = ''
         while True:
             query = _query(after=after, staleOk=int(stale))
             response = await self._read(f'{_PATH}/{kind}{query}')
+            size_bytes += len(response.body)
+            if size_bytes > _MAX_LISTING_BYTES:
+                raise Unavailable(f'a listing of {size_bytes} bytes')
             pages.append(decode(response, Page))
             eras.add(era_of_response(response))
             if len(eras) > 1:
--- a/tests/platform/test_memory_of_store_answers.py
+++ b/tests/platform/test_memory_of_store_answers.py
@@ -3,12 +3,16 @@
 import asyncio
 import tracemalloc
 
+import msgspec
+import pytest
+
 from fescueknot.identity import Address
 from fescueknot.objectapi.errors import Unavailable
 from fescueknot.objectapi.store_era import StoreEra
 from fescueknot.platform.objects import PlatformStore
 
 _READS = 8
+_MAX_PAGES = 60
 _PEAK_BYTES = 60_000_000
 _HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 _CHUNK = b'10000\r\n' + bytes(65_536) + b'\r\n'
@@ -46,3 +50,54 @@
         found, peak_bytes = asyncio.run(asyncio.wait_for(scenario(), 60))
         assert {type(error) for error in found} == {Unavailable}
         assert peak_bytes < _PEAK_BYTES
+
+
+class _EndlessListing:
+    """Serves pages of a megabyte, and says each time that there are more."""
+
+    def __init__(self):
+        self.pages = 0
+
+    async def serve(self, reader, writer):
+        while True:
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                writer.close()
+                return
+            self.pages += 1
+            page = {
+                'items': [_stored(f'n{self.pages:06}')],
+                'hasMore': self.pages < _MAX_PAGES,
+                'asOf': 1,
+            }
+            body = msgspec.json.encode(page)
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            writer.write(head.encode() + body)
+
+
+def _stored(name):
+    return {
+        'metadata': {'name': name, 'revision': 1, 'createRevision': 1},
+        'spec': 'x' * 1_000_000,
+    }
+
+
+class TestListings:
+    """Listings in very many pages."""
+
+    def test_one_that_never_ends_is_refused(self):
+        # Guards against a store that always has another page.
+        async def scenario():
+            listing = _EndlessListing()
+            server = await asyncio.start_server(listing.serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            store = PlatformStore(
+                address=Address(host='127.0.0.1', port=port), era=StoreEra()
+            )
+            with pytest.raises(Unavailable, match='listing'):
+                await store.list('config')
+            return listing.pages
+
+        pages = asyncio.run(asyncio.wait_for(scenario(), 60))
+        assert pages < _MAX_PAGES
