Bound what the platform's servers hold

Seen in the code: readiness, heartbeats and metrics had a budget of 134 MB each, the default, beside the 0.4 of memory_mb that messages get. A target that leaves half a heartbeat on each of some thousand connections could take that.

Change: 12 MB each. They stay apart, so that readiness is answered whatever the heartbeats hold.

--- a/fescueknot/relay/node_servers.py
+++ b/fescueknot/relay/node_servers.py
@@ -8,6 +8,10 @@
 from fescueknot.identity import Address
 from fescueknot.relay.settings import RelaySettings, parse_address
 
+# What a server that the platform asks may hold of requests and answers, beside
+# the memory of messages.
+_SMALL_BYTES = 12_000_000
+
 
 class NodeServers:
     """One server for each port of the settings, and one for metrics.
@@ -33,9 +37,9 @@
         self.peers = Server(
             handler=peers, report_error=report_error, buffers=buffers
         )
-        self._ready = Server(handler=ready, report_error=report_error)
-        self._heartbeats = Server(handler=heartbeats, report_error=report_error)
-        self._metrics = Server(handler=metrics, report_error=report_error)
+        self._ready = _small_server(ready, report_error)
+        self._heartbeats = _small_server(heartbeats, report_error)
+        self._metrics = _small_server(metrics, report_error)
 
     def unanswered(self) -> Mapping[str, float]:
         """Return the requests of callers that ended without an answer."""
@@ -56,5 +60,15 @@
             )
 
 
+def _small_server(
+    handler: Handler, report_error: Callable[[BaseException], None]
+) -> Server:
+    return Server(
+        handler=handler,
+        report_error=report_error,
+        buffers=BufferBudget(limit_bytes=_SMALL_BYTES),
+    )
+
+
 async def _listen(server: Server, address: Address) -> None:
     await server.listen(address.host, address.port)
