Bound the answers of the older thread path

Seen in the code: the thread path's connections to targets and nodes read an answer without a limit until the deadline, and those to the store without any limit at all, as each received byte extends the time.

Change: a body of more than 16 MiB is a lost answer, as in httpio. One of the store that has a length is read whole or not at all, since http.client tells that it has broken off only then.

Tests that failed before: test_a_very_long_answer_is_lost, of a target with a length, and of the store with a length, until the close and in chunks. That of a target until the close passed before too.

--- a/fescueknot/node/connections.py
+++ b/fescueknot/node/connections.py
@@ -26,6 +26,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _CALLER_CHECK_INTERVAL_MS = 100
 _READ_CHUNK_BYTES = 65536
+_MAX_BODY_BYTES = 16_777_216
 
 DEAD_CONNECTION_TIMEOUT_S = 4
 _KEEPALIVE_INTERVAL_S = 1
@@ -151,9 +152,13 @@
             Header(name=name, text=text) for name, text in response.getheaders()
         )
         chunks = []
+        left_bytes = _MAX_BODY_BYTES
         while not response.isclosed():
             self._set_timeout(deadline_s)
             chunks.append(response.read(_READ_CHUNK_BYTES))
+            left_bytes -= len(chunks[-1])
+            if left_bytes < 0:
+                raise http_client.HTTPException('the body is too long')
         return HttpAnswer(
             status=response.status,
             reason=response.reason,
--- a/fescueknot/objectapi/connections.py
+++ b/fescueknot/objectapi/connections.py
@@ -9,7 +9,7 @@
 import select
 import socket
 from collections.abc import Mapping
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse
 
 import msgspec
 
@@ -17,6 +17,7 @@
 from fescueknot.objectapi.errors import OutcomeUnknown, Unavailable
 
 _MAX_IDLE_CONNECTIONS = 8
+_MAX_BODY_BYTES = 16_777_216
 _LOST_ERRORS = (OSError, HTTPException)
 
 
@@ -116,11 +117,28 @@
     response = connection.getresponse()
     return Answer(
         status=response.status,
-        body=response.read(),
+        body=_read_body(response),
         retry_after=response.getheader('Retry-After', ''),
     )
 
 
+def _read_body(response: HTTPResponse) -> bytes:
+    """Return the body; raise ``HTTPException`` if it is too long.
+
+    One with a length is read whole, as ``http.client`` tells only then that it
+    has broken off.
+    """
+    if response.length is None:
+        body = response.read(_MAX_BODY_BYTES + 1)
+        is_too_long = len(body) > _MAX_BODY_BYTES
+    else:
+        is_too_long = response.length > _MAX_BODY_BYTES
+        body = b'' if is_too_long else response.read()
+    if is_too_long:
+        raise HTTPException('the body is too long')
+    return body
+
+
 def _is_usable(connection: HTTPConnection) -> bool:
     """Return whether the connection is open and has no unread bytes."""
     sock: socket.socket | None = connection.sock
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -46,6 +46,18 @@
         answer = pool.call(_REQUEST, deadline_s=_deadline_s())
         assert (answer.status, answer.body) == (200, b'ok')
 
+    @pytest.mark.parametrize(
+        'framing', [b'Content-Length: 17000000', b'Connection: close']
+    )
+    def test_a_very_long_answer_is_lost(
+        self, servers: list[ScriptedServer], framing: bytes
+    ) -> None:
+        # Guards against targets that send until the process has no memory.
+        head = b'HTTP/1.1 200 OK\r\n' + framing + b'\r\n\r\n'
+        pool = ConnectionPool(address=_serve(servers, head + bytes(17_000_000)))
+        with pytest.raises(errors.AnswerLostError):
+            pool.call(_REQUEST, deadline_s=_deadline_s(20))
+
     def test_connect_failure_means_not_run(self) -> None:
         with socket.create_server(('127.0.0.1', 0)) as unused:
             port = unused.getsockname()[1]
--- a/tests/objectapi/test_connections.py
+++ b/tests/objectapi/test_connections.py
@@ -1,5 +1,6 @@
 """Tests that unresponsive connections do not delay calls on new ones."""
 
+import contextlib
 import socket
 import socketserver
 import threading
@@ -9,7 +10,8 @@
 import pytest
 
 from fescueknot.identity import Address
-from fescueknot.objectapi.errors import Unavailable
+from fescueknot.objectapi.connections import ConnectionPool, Request
+from fescueknot.objectapi.errors import OutcomeUnknown, Unavailable
 from fescueknot.objectapi.http_store import HttpStore
 
 _LISTING = b'{"objects":[],"revision":0}'
@@ -78,3 +80,37 @@
             store.list('')
         assert store.list('').revision == 0
         store.close()
+
+
+_LONG_ANSWERS = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 17000000\r\n\r\n' + bytes(17_000_000),
+    b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n' + bytes(17_000_000),
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    + (b'10000\r\n' + bytes(65_536) + b'\r\n') * 260
+    + b'0\r\n\r\n',
+)
+
+
+class _LongAnswer(socketserver.BaseRequestHandler):
+    def handle(self) -> None:
+        self.request.recv(_MAX_REQUEST_BYTES)
+        with contextlib.suppress(OSError):
+            self.request.sendall(self.server.answer)
+
+
+@pytest.mark.parametrize('answer', _LONG_ANSWERS)
+def test_a_very_long_answer_is_lost(answer: bytes) -> None:
+    # Guards against stores that send until the process has no memory.
+    with socketserver.ThreadingTCPServer(
+        ('127.0.0.1', 0), _LongAnswer
+    ) as server:
+        server.answer = answer
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        host, port = server.server_address
+        pool = ConnectionPool(
+            address=Address(host=host, port=port), connect_timeout_s=5
+        )
+        request = Request(method='GET', target='/', timeout_s=20)
+        with pytest.raises(OutcomeUnknown):
+            pool.exchange(request)
+        server.shutdown()
