--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -31,7 +31,6 @@
         self.in_body = False
         self.expects_continue = False
         self._target = b''
-        self._received_head_bytes = 0
         self._complete: list[tuple[Request, bool]] = []
         self._parser = httptools.HttpRequestParser(self)
         self._refusal: Callable[[], Exception] = MalformedError
@@ -65,9 +64,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
-        self._clear()
+        super().on_message_begin()
         self._target = b''
-        self._received_head_bytes = 0
         self.has_begun = True
 
     def on_url(self, url: bytes) -> None:
@@ -84,6 +82,8 @@
     def on_headers_complete(self) -> None:
         """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
         self.in_body = True
+        # Counted for the framing of the body from here on.
+        self._received_bytes = 0
         # HTTP/1.0 has no interim responses (RFC 9110, 10.1.1).
         is_old = self._parser.get_http_version() == _OLD_VERSION
         self.expects_continue = not is_old and any(
@@ -118,6 +118,8 @@
 
     def _feed_piece(self, piece: bytes) -> None:
         complete_before = len(self._complete)
+        is_between = not self.has_begun
+        begun_before = self._messages_begun
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
@@ -128,6 +130,8 @@
             self._ignore_upgrade(piece[upgrade.args[0] :])
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
+        elif is_between and self._messages_begun == begun_before:
+            self._check_empty(len(piece))
 
     def _ignore_upgrade(self, rest: bytes) -> None:
         """Go on behind a request that asked for another protocol.
@@ -152,8 +156,8 @@
             self._check_framing(received_bytes, self.max_header_bytes)
         else:
             # ``httptools`` reports a header only once it is complete.
-            self._received_head_bytes += received_bytes
-            self._check_head(self._received_head_bytes)
+            self._received_bytes += received_bytes
+            self._check_head(self._received_bytes)
 
     def _check_head(self, received_bytes: int) -> None:
         if max(self._head_bytes, received_bytes) > self.max_header_bytes:
