Read the answer that came before a write failed

A target that answers a long request early and closes, as one that is full, was taken for one that may have run it: callers got 502, and a request that had not run was not sent elsewhere.

Cause: closing with a request unread resets the connection. If the next piece of the request is written before the loop has read, the write fails, asyncio closes the transport, and the answer that lies in the kernel is dropped.

Change: a connection that is lost with an error of the network reads what the kernel still holds (`kernel_buffers.rest_of_input`, bounded) before it fails. An answer without a length stays incomplete, as the connection was reset.

Why this works: Linux keeps what it has received when a reset comes, until the socket is closed, and asyncio closes it only behind `connection_lost`.

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -14,7 +14,7 @@
     joined,
 )
 from fescueknot.httpio.errors import AnswerLostError
-from fescueknot.httpio.kernel_buffers import has_input
+from fescueknot.httpio.kernel_buffers import has_input, rest_of_input
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.numbers import parse_count
@@ -96,6 +96,9 @@
         """Deliver a response that ends with the connection, else fail."""
         self.reusable = False
         self._writer.resume()
+        if isinstance(exc, OSError):
+            # A write may have failed after the answer had come.
+            self.data_received(rest_of_input(self._transport))
         final_response = None if exc else self._parser.finish()
         if final_response is not None:
             self._deliver((final_response,))
--- a/fescueknot/httpio/kernel_buffers.py
+++ b/fescueknot/httpio/kernel_buffers.py
@@ -1,9 +1,11 @@
 """What the kernel holds of connections, in both directions."""
 
 import asyncio
+import contextlib
 import fcntl
 import functools
 import logging
+import os
 import select
 import socket
 import sys
@@ -14,6 +16,9 @@
 # Errors and the end of both directions are reported all the same.
 _NO_EVENTS = 0
 _COUNT = bytes(4)
+_READ_BYTES = 262_144
+# More than a kernel holds for one connection.
+_MAX_READS = 32
 
 
 def has_input(transport: asyncio.BaseTransport) -> bool:
@@ -50,6 +55,21 @@
     return bool(poll.poll(_POLL_NOW_MS))
 
 
+def rest_of_input(transport: asyncio.BaseTransport) -> bytes:
+    """Read what has arrived on a connection whose transport has failed.
+
+    Empty without a socket.
+    """
+    sock = transport.get_extra_info('socket')
+    pieces = []
+    if sock is None or sock.fileno() < 0:
+        return b''
+    with contextlib.suppress(OSError):
+        for _ in range(_MAX_READS):
+            pieces.append(os.read(sock.fileno(), _READ_BYTES))
+    return b''.join(pieces)
+
+
 def undelivered_bytes(transport: asyncio.BaseTransport) -> int:
     """Return how many sent bytes the other side has not acknowledged.
 
