Take over connections that their clients have reset

At the end of listening a connection that its client had reset before it was accepted gave an error in the log (`'NoneType' object is not subscriptable`).

Cause: what is taken over from the kernel has no address of a client then, and `connection_made` read its first part; the connection was not registered.

Change: without an address the client's host is empty.

Evidence: tests/httpio/test_unread_requests.py::TestResetBeforeAccept fails before with that TypeError, and passes now; tests/httpio passes.

Why this works: the connection ends with its first read, as any other that is reset.

--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -32,6 +32,8 @@
 )
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _REQUEST_TIMEOUT_STATUS = 408
+# Of a client that has reset its connection before it was taken over.
+_NO_PEER = ('',)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -71,10 +73,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
         self._transport = transport
-        peer = transport.get_extra_info('peername')[0]
+        peer = transport.get_extra_info('peername') or _NO_PEER
         self._pipeline = RequestPipeline(
             handler=self._handler,
-            peer=peer,
+            peer=peer[0],
             on_end=self._request_ended,
             unanswered=self._owner.unanswered,
         )
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import socket
+import struct
 
 import pytest
 
@@ -20,6 +21,7 @@
 _TURNS_TO_ANSWER = 8
 _LIMIT_S = 30
 _LOOKS = 5
+_RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
 
 class _Handler(Handler):
@@ -253,3 +255,28 @@
 
 async def _never(request, peer):
     await asyncio.get_running_loop().create_future()
+
+
+class TestResetBeforeAccept:
+    """A client that has reset its connection before it was accepted."""
+
+    def test_its_end_is_no_error(self):
+        # Guards against an error in a callback of the loop: such a connection,
+        # taken over at the end of listening, has no address of a client.
+        async def scenario(served):
+            errors = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, error: errors.append(error))
+            served.connect()
+            served.client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE
+            )
+            served.client.close()
+            for _ in range(_LOOKS):
+                served.server.stop_listening()
+                await asyncio.sleep(0)
+            while served.server.open_connections:
+                await asyncio.sleep(0)
+            return errors
+
+        assert not _run(scenario)
