--- a/tests/site_rig/test_manners.py
+++ b/tests/site_rig/test_manners.py
@@ -201,6 +201,13 @@
         assert exchange.ended_s - exchange.sent_s > 0.35
         assert exchange.outcome is Outcome.ANSWERED
 
+    # Guards against an end that a slow reader notes when it reads again.
+    def test_slow_reader_notes_the_end(self, play):
+        exchange = play(Node(b'', is_last=True), 'slow reader')[0]
+
+        assert exchange.outcome is Outcome.ENDED
+        assert exchange.ended_s - exchange.sent_s < 0.38
+
     # Guards against odd clients that are all of one kind, or too many.
     def test_share(self):
         manners = [manner_of(number, 0.25) for number in range(64)]
@@ -255,6 +262,19 @@
 class TestDelays:
     """What is sent and what comes takes the link's time, ends too."""
 
+    # Guards against bytes that a late loop sends later than was noted.
+    def test_last_byte_leaves_late(self, play, monkeypatch):
+        put = DelayLine.put
+
+        def put_late(line: DelayLine, action) -> None:
+            time.sleep(0.05)
+            put(line, action)
+
+        monkeypatch.setattr(DelayLine, 'put', put_late)
+        exchange = play(Node(ANSWER), delay_s=0.01)[0]
+
+        assert exchange.sent_s - exchange.began_s > 0.08
+
     # Guards against delays that stand in one direction only.
     @pytest.mark.parametrize('answer', [ANSWER, b''])
     def test_there_and_back(self, play, answer):
--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tools.site_rig.cases import Case, Excuse, Limits, Occasion
+from tools.site_rig.causes import Cause, cause_of
 from tools.site_rig.cut_rates import CutRates
 from tools.site_rig.joining import troubles_of
 from tools.site_rig.records import (
@@ -435,6 +436,31 @@
         assert judge(seen, LIMITS).counts is counts
 
 
+def killed(host: str, at_s: float) -> SignalRecord:
+    return SignalRecord(
+        host=host, kind=SignalKind.OVER_MEMORY, at_s=SIGNAL_S + at_s
+    )
+
+
+class TestCauses:
+    """What ended a lost request; the case ends at 2 s."""
+
+    # Guards against a report that blames memory for other losses.
+    @pytest.mark.parametrize(
+        ('signals', 'cause'),
+        [
+            ((killed('h', 2.1),), Cause.OWN_NODE),
+            ((killed('t', 1.9),), Cause.TARGETS_NODE),
+            ((killed('t', 2), killed('h', 2)), Cause.OWN_NODE),
+            ((killed('other', 2),), Cause.OTHER),
+            ((killed('h', 2.5), killed('t', 1.5)), Cause.OTHER),
+            ((), Cause.OTHER),
+        ],
+    )
+    def test_cause(self, signals, cause):
+        assert cause_of(case(request(1, 1), CUT), signals) is cause
+
+
 class TestCutRates:
     """Cuts beside configurations against those at other times."""
 
--- a/tools/site_rig/caller_connection.py
+++ b/tools/site_rig/caller_connection.py
@@ -9,6 +9,7 @@
 
 from tools.site_rig.answer_reader import AnswerReader
 from tools.site_rig.delay_line import DelayLine
+from tools.site_rig.end_watch import EndWatch
 from tools.site_rig.exchanges import Answer, Exchange
 from tools.site_rig.manners import USUAL, Manner
 from tools.site_rig.records import Outcome
@@ -31,6 +32,7 @@
         self._waiting: deque[Exchange] = deque()
         self._transport: asyncio.Transport | None = None
         self._reader = AnswerReader()
+        self._end_watch = EndWatch()
         self._sending: Sending | None = None
         self._out = DelayLine(delay_s=delay_s)
         self._in = DelayLine(delay_s=delay_s)
@@ -57,7 +59,7 @@
         if self._manner.half_closes and exchange.is_kept:
             self.is_usable = False
         if self._manner.read_pause_s:
-            self._read_later()
+            self._end_watch.pause(self._transport, self._manner.read_pause_s)
 
     def close(self) -> None:
         """Give up all requests."""
@@ -114,24 +116,17 @@
         last = self._reader.finish()
         if last is not None:
             self._end_next(last)
-        self._end_all(Outcome.ENDED)
+        self._end_all(Outcome.ENDED, self._end_watch.seen_s)
         self._out.put(self._transport.close)
 
     def _lose(self, error: Exception | None) -> None:
         for exchange in self._waiting:
             exchange.is_reset = error is not None
-        self._end_all(Outcome.ENDED)
+        self._end_all(Outcome.ENDED, self._end_watch.seen_s)
 
-    def _end_all(self, outcome: Outcome) -> None:
+    def _end_all(self, outcome: Outcome, at_s: float = 0) -> None:
         self.is_usable = False
         while self._waiting:
-            self._waiting.popleft().end(outcome)
-
-    def _read_later(self) -> None:
-        if self._transport.is_closing():
-            return
-        self._transport.pause_reading()
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            self._manner.read_pause_s, self._transport.resume_reading
-        )
+            exchange = self._waiting.popleft()
+            is_after = at_s > exchange.began_s
+            exchange.end(outcome, at_s if is_after else 0)
--- a/tools/site_rig/exchanges.py
+++ b/tools/site_rig/exchanges.py
@@ -39,11 +39,11 @@
         """Wait for the end; raise :class:`TimeoutError`."""
         await asyncio.wait_for(asyncio.shield(self._done), limit_s)
 
-    def end(self, outcome: Outcome) -> None:
-        """Note the end, once."""
+    def end(self, outcome: Outcome, at_s: float = 0) -> None:
+        """Note the end, once, and when it came if that was not now."""
         if self._done.done():
             return
-        self.ended_s = time.monotonic()
+        self.ended_s = at_s or time.monotonic()
         # One that ends before its last byte has left.
         self.sent_s = self.sent_s or self.ended_s
         self.outcome = outcome
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from tools.site_rig.cases import Case, Finding, Limits, Occasion
+from tools.site_rig.causes import cause_of
 from tools.site_rig.joining import RunRecords, findings_of, load_records
 from tools.site_rig.node_log import lines_of
 from tools.site_rig.records import (
@@ -30,7 +31,7 @@
     sure = sum(_is_sure(finding, limits) for finding in lost)
     print(f'{label}: {len(lost)} LOST, {sure} of them whatever the lag')
     _print_figures(records)
-    _print_lost(lost)
+    _print_lost(lost, records)
     excuses = (finding.excuse for finding in findings if not finding.counts)
     print(f'  excused {_counts(excuses)}')
     _print_not_played(scene)
@@ -38,12 +39,14 @@
     return len(lost)
 
 
-def _print_lost(lost: list[Finding]) -> None:
+def _print_lost(lost: list[Finding], records: RunRecords) -> None:
     """Print in how many ways requests were lost."""
     occasions = _counts(finding.occasion for finding in lost)
     manners = _counts(finding.case.request.manner for finding in lost)
     kept = sum(finding.case.request.is_kept for finding in lost)
     print(f'  lost at {occasions}')
+    causes = (cause_of(finding.case, records.signals) for finding in lost)
+    print(f'  lost because {_counts(causes)}')
     print(f'  lost of manners {manners}, on kept connections {kept}')
     at_any_time = occasions.get(str(Occasion.ANY_TIME), 0)
     if 0 < at_any_time <= _MOST_AT_ANY_TIME:
--- a/tools/site_rig/sending.py
+++ b/tools/site_rig/sending.py
@@ -38,8 +38,7 @@
             first = len(whole) // 2
         self._rest = whole[first:]
         self._write(whole[:first])
-        if not self._rest:
-            self._finish()
+        self._finish()
 
     def go_on(self) -> None:
         """Send the rest, if there is any and it still makes sense."""
@@ -60,10 +59,17 @@
         self._timer = loop.call_later(pause_s, self.go_on)
 
     def _finish(self) -> None:
-        self._exchange.sent_s = time.monotonic()
+        if self._rest:
+            return
+        self._line.put(self._note_end)
         if self._manner.half_closes and self._exchange.is_kept:
             self._line.put(self._half_close)
 
+    def _note_end(self) -> None:
+        """Note when the last byte left: a late loop sends late."""
+        if not self._exchange.is_done:
+            self._exchange.sent_s = time.monotonic() - self._line.delay_s
+
     def _write(self, sent: bytes) -> None:
         def write() -> None:  # noqa: WPS430
             if not self._transport.is_closing():
