--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -1,5 +1,7 @@
 """The rule LOST of the rig: which records count and which do not."""
 
+import itertools
+
 import msgspec
 import pytest
 
@@ -16,6 +18,7 @@
     SignalRecord,
     TroubleRecord,
 )
+from tools.site_rig.report import is_broken
 from tools.site_rig.rule_lost import judge
 
 LIMITS = Limits(grace_s=6, apply_s=2.5)
@@ -442,6 +445,25 @@
     )
 
 
+class TestBroken:
+    """How many lost requests break the rule."""
+
+    # Guards against allowing a loss beside planned work, or a fourth one.
+    @pytest.mark.parametrize(
+        ('at_any_time', 'planned', 'broken'),
+        [(0, 0, False), (3, 0, False), (4, 0, True), (0, 1, True)],
+    )
+    def test_number(self, at_any_time, planned, broken):
+        away = judge(calm(request(1, 1), CUT), LIMITS)
+        beside = judge(case(request(1, 1), CUT), LIMITS)
+
+        lost = (
+            *itertools.repeat(away, at_any_time),
+            *itertools.repeat(beside, planned),
+        )
+        assert is_broken(lost) is broken
+
+
 class TestCauses:
     """What ended a lost request; the case ends at 2 s."""
 
--- a/tools/site_rig/report.py
+++ b/tools/site_rig/report.py
@@ -48,9 +48,14 @@
     causes = (cause_of(finding.case, records.signals) for finding in lost)
     print(f'  lost because {_counts(causes)}')
     print(f'  lost of manners {manners}, on kept connections {kept}')
-    at_any_time = occasions.get(str(Occasion.ANY_TIME), 0)
-    if 0 < at_any_time <= _MOST_AT_ANY_TIME:
-        print(f'  at any time {at_any_time}: as many as allowed')
+    print(f'  the rule is {"broken" if is_broken(lost) else "kept"}')
+
+
+def is_broken(lost: Iterable[Finding]) -> bool:
+    """Tell whether they break the rule; three at any time do not."""
+    occasions = collections.Counter(finding.occasion for finding in lost)
+    at_any_time = occasions.pop(Occasion.ANY_TIME, 0)
+    return bool(occasions) or at_any_time > _MOST_AT_ANY_TIME
 
 
 def _print_cases(lost: list[Finding], folder: pathlib.Path) -> None:
