--- a/tests/site_rig/test_odd_answers.py
+++ b/tests/site_rig/test_odd_answers.py
@@ -130,6 +130,29 @@
         assert received.count(b'HTTP/1.1 200') == answers
         assert received.count(BODY) == bodies
 
+    # Guards against a pause that ends the answer, or none.
+    def test_stalled(self):
+        async def halves() -> tuple[bytes, bytes, float]:
+            loop = asyncio.get_running_loop()
+            app = FixedApp(way='stalled')
+            server = await loop.create_server(
+                functools.partial(TargetConnection, app=app), '127.0.0.1', 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(REQUEST)
+            first, _ = await read_all(reader, 60)
+            began_s = loop.time()
+            rest = await reader.readexactly(len(BODY) // 2)
+            writer.transport.abort()
+            server.close()
+            return first, rest, loop.time() - began_s
+
+        first, rest, pause_s = asyncio.run(halves())
+        assert first.endswith(b'\r\n\r\n' + BODY[:50])
+        assert rest == BODY[50:]
+        assert pause_s > 0.3
+
     # Guards against a spoiled answer that can be read all the same.
     def test_spoiled_begins_with_no_answer(self):
         assert not answer('spoiled')[0].startswith(b'HTTP/')
--- a/tests/site_rig/test_troubles.py
+++ b/tests/site_rig/test_troubles.py
@@ -73,6 +73,7 @@
             ('garble', 'early', {PLAIN}),
             ('answer_lost', '', {'lost'}),
             ('answer_lost', 'reset', {'lost by reset'}),
+            ('stall', '', {'stalled'}),
             ('endless', '', {f'endless {name}' for name in ENDLESS}),
             *(('endless', name, {f'endless {name}'}) for name in ENDLESS),
             ('srv_slow', '', {PLAIN}),
--- a/tools/site_rig/answer_ways.py
+++ b/tools/site_rig/answer_ways.py
@@ -13,6 +13,7 @@
 
 PLAIN = ''
 _LATE_S = 0.3
+_STALL_S = 0.5
 _BEFORE_RESET_S = 0.02
 _GARBAGE = b'\x16\x03\x01 no answer at all\r\n\r\n'
 # 1000 Mbit/s.
@@ -65,6 +66,14 @@
     loop.call_later(_LATE_S, outlet.write, reply.encode())
 
 
+async def _stall(outlet: Outlet, reply: Reply) -> None:
+    """Say nothing for a while in the middle of a body."""
+    half = len(reply.body) // 2
+    outlet.write(reply.encode_head() + reply.body[:half])
+    await asyncio.sleep(_STALL_S)
+    outlet.write(reply.body[half:])
+
+
 async def _send_unframed(outlet: Outlet, reply: Reply) -> None:
     outlet.write(reply.encode_head(is_framed=False) + reply.body)
     outlet.close()
@@ -110,6 +119,7 @@
         'spoiled': Way(send=_spoil, end=RunEnd.BROKE_OFF),
         'twice': Way(send=_send_twice),
         'twice late': Way(send=_send_twice_late),
+        'stalled': Way(send=_stall),
         'unframed': Way(send=_send_unframed),
         'unframed reset': Way(send=_reset_unframed, end=RunEnd.BROKE_OFF),
         **{
--- a/tools/site_rig/answer_words.py
+++ b/tools/site_rig/answer_words.py
@@ -74,7 +74,8 @@
         'garble': _word(0.5, 0.02, 'extra', 'late', 'unframed', 'early'),
         'srv_slow': _word(0.15, 4),
         'srv_grey': _word(0.15, 0.5, 'shed'),
-        # A word of the rig's own: answers without end.
+        # Words of the rig's own: answers that pause, and without end.
+        'stall': _word(0.5, 0.1),
         'endless': Word(
             maker=_endless,
             hows=frozenset(word for name in ENDLESS for word in name.split()),
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -41,6 +41,7 @@
     PlanEntry(at=8, kind='garble', how='early', ratio=0.2, for_s=20),
     PlanEntry(at=12, kind='garble', how='extra late', ratio=0.03, for_s=10),
     PlanEntry(at=16, kind='garble', how='unframed', ratio=0.05, for_s=12),
+    PlanEntry(at=2, kind='stall', for_s=30),
     PlanEntry(at=3, kind='answer_lost', for_s=10),
     PlanEntry(at=14, kind='answer_lost', how='reset', ratio=0.06, for_s=10),
     PlanEntry(at=5, kind='srv_slow', ratio=5, for_s=8),
--- a/tools/site_rig/target_troubles.py
+++ b/tools/site_rig/target_troubles.py
@@ -12,6 +12,7 @@
 GARBLE = 'garble'
 _LOST = 'answer_lost'
 _ENDLESS = 'endless'
+_STALL = 'stall'
 _SHED = 'shed'
 _EARLY = 'early'
 # Ways of answering of each word, by the words of its `how` in their order.
@@ -22,6 +23,7 @@
         (GARBLE, 'extra late'): ('twice', 'twice late'),
         (GARBLE, 'unframed'): ('unframed', 'unframed reset'),
         (_LOST, ''): ('lost',),
+        (_STALL, ''): ('stalled',),
         (_LOST, 'reset'): ('lost by reset',),
         (_ENDLESS, ''): tuple(endless_way(name) for name in ENDLESS),
         **{
@@ -30,7 +32,7 @@
         },
     }
 )
-TROUBLES = frozenset((SLOW, GREY, GARBLE, _LOST, _ENDLESS))
+TROUBLES = frozenset((SLOW, GREY, GARBLE, _LOST, _STALL, _ENDLESS))
 
 
 class TargetTroubles:
