--- a/tools/site_rig/target_server.py
+++ b/tools/site_rig/target_server.py
@@ -22,15 +22,21 @@
         self._socket: socket.socket | None = None
         self._filling: list[socket.socket] = []
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return where it listens."""
+        return self._address
+
     async def open(self) -> None:
         """Start to listen."""
         self._socket = socket.create_server(self._address, backlog=_BACKLOG)
+        self._address = self._socket.getsockname()
         self._server = await asyncio.get_running_loop().create_server(
             self._connection, sock=self._socket, backlog=_BACKLOG
         )
 
     def close(self) -> None:
-        """End at once: nobody listens, and all connections are reset."""
+        """End at once: nobody listens, and all connections end."""
         for filling in self._filling:
             filling.close()
         self._server.close()
@@ -69,7 +75,7 @@
         self._others.discard(self)
 
     def abort(self) -> None:
-        """Drop the requests and reset the connection."""
+        """Drop the requests and end the connection."""
         self._work.cancel()
         self._transport.abort()
 
