--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -116,6 +116,8 @@
         ends_s = time.monotonic() + self._bounds.grace_s
         while self._is_running and time.monotonic() < ends_s:
             await asyncio.sleep(_POLL_S)
+        if self._is_running:
+            self._note(SignalKind.KILL, 'at the end of the grace period')
         self.end()
         self._note_end()
         return True
--- a/tools/site_rig/rule_lost.py
+++ b/tools/site_rig/rule_lost.py
@@ -14,6 +14,10 @@
 _LAST_PART_OF_GRACE = 1 / 6
 _SENT_EARLY_S = 3.0
 _USED_MOST = 0.7
+# After these a machine is out of touch for a while; not after its own ends.
+_NOT_LEFT_ALONE = frozenset(
+    (SignalKind.START, SignalKind.TERM, SignalKind.KILL)
+)
 
 
 def judge(case: Case, limits: Limits) -> Finding:
@@ -93,11 +97,11 @@
 def _is_in_touch(case: Case, at_s: float, limits: Limits) -> bool:
     """Tell whether the machine was; the store alone excuses nothing."""
     from_s = at_s - limits.stable_s
-    is_started = any(
-        from_s <= started_s <= at_s
-        for started_s in case.times(SignalKind.START)
+    is_signalled = any(
+        signal.kind in _NOT_LEFT_ALONE and from_s <= signal.at_s <= at_s
+        for signal in case.signals
     )
-    return not is_started and not case.is_disrupted(from_s, at_s)
+    return not is_signalled and not case.is_disrupted(from_s, at_s)
 
 
 def _used_most(case: Case, limits: Limits) -> bool:
