--- a/tests/site_rig/test_node_process.py
+++ b/tests/site_rig/test_node_process.py
@@ -1,6 +1,7 @@
 """The nodes of the rig as processes: which signals they get."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 
@@ -8,6 +9,7 @@
 
 from tests.site_rig.small_site import small_hosts, small_site
 from tools.site_rig.node_process import NodeProcess
+from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import RecordFile, SignalKind, read_records
 
 _MODULE = 'tools.site_rig.node_process'
@@ -46,12 +48,13 @@
         self._records = RecordFile(path=self._path)
         monkeypatch.setattr(f'{_MODULE}.subprocess.Popen', self._start)
         monkeypatch.setattr(f'{_MODULE}._RESTART_S', 0)
+        host = small_hosts()[0]
         self.node = NodeProcess(
-            host=small_hosts()[0],
-            store='',
-            folder=folder,
+            host=host,
+            settings=NodeSettings(
+                host=host, store='', folder=folder, bounds=small_site().bounds
+            ),
             code=folder,
-            bounds=small_site().bounds,
             records=self._records,
         )
         self.node.start()
@@ -101,10 +104,48 @@
 
         assert len(stand.processes) == 2
 
+    # Guards against a kill of the process that was started meanwhile.
+    @pytest.mark.parametrize('is_dark', [False, True])
+    def test_killed_while_it_stops(self, stand, is_dark):
+        async def restart_and_kill() -> None:
+            kill = stand.node.kill(0, is_dark=is_dark)
+            await asyncio.gather(stand.node.restart(), kill)
+
+        asyncio.run(restart_and_kill())
+
+        assert len(stand.processes) == 2
+        assert not stand.processes[1].signals
+
 
 class TestStop:
     """A node that is stopped."""
 
+    # Guards against a node that comes back beside its successor.
+    @pytest.mark.parametrize('how', ['stop', 'remove'])
+    @pytest.mark.parametrize('before', ['restart', 'kill'])
+    def test_host_goes_meanwhile(self, stand, how, before):
+        async def gone() -> None:
+            first = {
+                'restart': stand.node.restart,
+                'kill': functools.partial(stand.node.kill, 0, is_dark=True),
+            }
+            before_it = asyncio.ensure_future(first[before]())
+            await asyncio.sleep(0)
+            if how == 'stop':
+                await stand.node.stop()
+            else:
+                stand.node.remove()
+            await before_it
+            reviving = asyncio.ensure_future(stand.node.revive())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            reviving.cancel()
+
+        asyncio.run(gone())
+
+        assert len(stand.processes) == 1
+        assert stand.processes[0].returncode is not None
+
     # Guards against a node that comes back although its host is gone.
     @pytest.mark.parametrize('how', ['stop', 'remove'])
     def test_for_good(self, stand, how):
--- a/tools/site_rig/stage.py
+++ b/tools/site_rig/stage.py
@@ -9,6 +9,7 @@
 
 from tools.site_rig.configurations import Configurations
 from tools.site_rig.node_process import NodeProcess
+from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import (
     RecordFile,
     SignalKind,
@@ -35,15 +36,19 @@
 
     async def start_node(self, host: Host) -> None:
         """Start the node of a host; it is kept running from now on."""
-        node = NodeProcess(
+        settings = NodeSettings(
             host=host,
             store=await self.gates.open(host),
             folder=self.folder,
-            code=self._code,
             bounds=self.scene.site.bounds,
+        )
+        settings.write()
+        node = NodeProcess(
+            host=host,
+            settings=settings,
+            code=self._code,
             records=self._records,
         )
-        node.configure()
         node.start()
         self.nodes[host.name] = node
         self._tasks.append(asyncio.ensure_future(node.revive()))
