--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -1,9 +1,12 @@
 """The rule LOST of the rig: which records count and which do not."""
 
+import itertools
+
 import msgspec
 import pytest
 
 from tools.site_rig.cases import Case, Excuse, Limits, Occasion
+from tools.site_rig.causes import Cause, cause_of
 from tools.site_rig.cut_rates import CutRates
 from tools.site_rig.joining import troubles_of
 from tools.site_rig.records import (
@@ -15,6 +18,7 @@
     SignalRecord,
     TroubleRecord,
 )
+from tools.site_rig.report import is_broken
 from tools.site_rig.rule_lost import judge
 
 LIMITS = Limits(grace_s=6, apply_s=2.5)
@@ -146,7 +150,7 @@
         request(1, 1), BROKE_OFF, OTHER_CUT
     ),
     'at work until long after the grace period': case(
-        request(1, 7), run(1.1, 8, RunEnd.CUT)
+        request(2.9, 6), run(3.2, 9, RunEnd.CUT)
     ),
     'its node was started and then stopped': Case(
         request=request(1, 1),
@@ -250,6 +254,10 @@
         case(own_answer(502), BROKE_OFF),
         Excuse.NOT_LOST,
     ),
+    'long after a stop, passed on soon after it': (
+        case(request(1, 7), run(1.1, 8, RunEnd.CUT)),
+        Excuse.OUT_OF_TOUCH,
+    ),
     'at any time, its target broke off': (
         calm(request(1, 1), BROKE_OFF),
         Excuse.TARGET,
@@ -425,6 +433,11 @@
         [
             (SignalKind.START, 48.01, False),
             (SignalKind.START, 47, True),
+            (SignalKind.TERM, 43.5, True),
+            (SignalKind.KILL, 48.01, False),
+            (SignalKind.KILL, 51, False),
+            (SignalKind.KILL, 47, True),
+            (SignalKind.OVER_MEMORY, 51, True),
             (SignalKind.REVIVAL, 48.01, True),
         ],
     )
@@ -435,6 +448,50 @@
         assert judge(seen, LIMITS).counts is counts
 
 
+def killed(host: str, at_s: float) -> SignalRecord:
+    return SignalRecord(
+        host=host, kind=SignalKind.OVER_MEMORY, at_s=SIGNAL_S + at_s
+    )
+
+
+class TestBroken:
+    """How many lost requests break the rule."""
+
+    # Guards against allowing a loss beside planned work, or a fourth one.
+    @pytest.mark.parametrize(
+        ('at_any_time', 'planned', 'broken'),
+        [(0, 0, False), (3, 0, False), (4, 0, True), (0, 1, True)],
+    )
+    def test_number(self, at_any_time, planned, broken):
+        away = judge(calm(request(1, 1), CUT), LIMITS)
+        beside = judge(case(request(1, 1), CUT), LIMITS)
+
+        lost = (
+            *itertools.repeat(away, at_any_time),
+            *itertools.repeat(beside, planned),
+        )
+        assert is_broken(lost) is broken
+
+
+class TestCauses:
+    """What ended a lost request; the case ends at 2 s."""
+
+    # Guards against a report that blames memory for other losses.
+    @pytest.mark.parametrize(
+        ('signals', 'cause'),
+        [
+            ((killed('h', 2.1),), Cause.OWN_NODE),
+            ((killed('t', 1.9),), Cause.TARGETS_NODE),
+            ((killed('t', 2), killed('h', 2)), Cause.OWN_NODE),
+            ((killed('other', 2),), Cause.OTHER),
+            ((killed('h', 2.5), killed('t', 1.5)), Cause.OTHER),
+            ((), Cause.OTHER),
+        ],
+    )
+    def test_cause(self, signals, cause):
+        assert cause_of(case(request(1, 1), CUT), signals) is cause
+
+
 class TestCutRates:
     """Cuts beside configurations against those at other times."""
 
