--- a/tests/site_rig/test_manners.py
+++ b/tests/site_rig/test_manners.py
@@ -194,6 +194,16 @@
 
         assert node.bytes_seen.startswith(b'POST /a HTTP/1.0\r\n')
 
+    # Guards against a second request on a connection without keep-alive.
+    @pytest.mark.parametrize(
+        ('name', 'connections'), [('', 1), ('HTTP/1.0', 2)]
+    )
+    def test_one_request_a_connection(self, play, name, connections):
+        node = Node(ANSWER, ANSWER)
+        play(node, name, count=2)
+
+        assert len(node.writers) == connections
+
     # Guards against a slow reader that reads at once.
     def test_slow_reader(self, play):
         exchange = play(Node(ANSWER), 'slow reader')[0]
--- a/tools/site_rig/caller_connection.py
+++ b/tools/site_rig/caller_connection.py
@@ -56,7 +56,7 @@
             transport=self._transport, line=self._out, manner=self._manner
         )
         self._sending.send(exchange, head, body)
-        if self._manner.half_closes and exchange.is_kept:
+        if self._manner.ends_with(is_kept=exchange.is_kept):
             self.is_usable = False
         if self._manner.read_pause_s:
             self._end_watch.pause(self._transport, self._manner.read_pause_s)
--- a/tools/site_rig/manners.py
+++ b/tools/site_rig/manners.py
@@ -29,6 +29,11 @@
     is_pipelined: bool = False
     is_library: bool = False
 
+    def ends_with(self, *, is_kept: bool) -> bool:
+        """Tell whether a request is the last one on its connection."""
+        is_single = self.version != USUAL.version
+        return is_single or (self.half_closes and is_kept)
+
 
 USUAL = Manner()
 ODD = (
