--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -438,6 +438,7 @@
             (SignalKind.KILL, 51, False),
             (SignalKind.KILL, 47, True),
             (SignalKind.OVER_MEMORY, 51, True),
+            (SignalKind.TROUBLE, 50.5, True),
             (SignalKind.REVIVAL, 48.01, True),
         ],
     )
