Free a refused response in the same turn of the loop

Cause: 30 refusals fit into one turn of the event loop, and their connections end in the next one.

Change: the parser is closed with the refusal. The share is still given back at the end of the connection.

Tests that failed before: test_memory_of_refused_messages, test_one_that_is_refused_before_its_connection_ends (978,610 and 2,238,782 bytes held).

--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -126,6 +126,8 @@
             self._deliver(self._parser.pop_complete())
             self._fail(f'no HTTP: {error}')
             self.close()
+            # Many may be refused before the event loop ends the first one.
+            self._parser.close()
             return
         self._deliver(responses)
         self._count_held()
--- a/tests/httpio/test_memory_of_refused_messages.py
+++ b/tests/httpio/test_memory_of_refused_messages.py
@@ -171,6 +171,17 @@
 
         assert _run(scenario) < _SLACK_BYTES
 
+    @pytest.mark.parametrize('kind', ['many headers', 'long chunks'])
+    def test_one_that_is_refused_before_its_connection_ends(self, kind):
+        # Guards against many that are refused in one turn of the loop.
+        async def scenario():
+            exchange = _Exchange()
+            await exchange.receive_for_ever(*_RESPONSES[kind])
+            await asyncio.wait((exchange.task,))
+            return exchange
+
+        assert _run(scenario) < _SLACK_BYTES
+
     @pytest.mark.parametrize('error', [None, ConnectionResetError()])
     def test_one_that_breaks_off(self, error):
         async def scenario():
