Let each run of the rig claim a loopback network

Two runs side by side took the same addresses when their process ids were equal modulo 128: seen as a run that couldn't start its store, and a possible cause of a node that once didn't get ready.

--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -2,12 +2,12 @@
 
 import argparse
 import asyncio
-import os
 import pathlib
 import sys
 import tempfile
 
 from tools.site_rig.deployment import TARGET_GROUPS, DeploymentRun
+from tools.site_rig.network import claim_network
 from tools.site_rig.plans import MIXED, length_of, plan_of, site_of
 from tools.site_rig.report import print_report
 from tools.site_rig.scene import Scene, hosts_of
@@ -15,9 +15,6 @@
 from tools.site_rig.spread import Spread
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-# Second part of the addresses, so that runs side by side do not meet.
-_FIRST_NETWORK = 64
-_NETWORKS = 128
 
 
 def _parse() -> argparse.Namespace:
@@ -46,11 +43,10 @@
     parser.add_argument('--rate', type=float, default=1)
 
 
-def _scene(options: argparse.Namespace, seed: int) -> Scene:
+def _scene(options: argparse.Namespace, network: str, seed: int) -> Scene:
     site = site_of(load_site(options.site), options.day)
     length_s = length_of(site, options.day, options.length)
-    network = _FIRST_NETWORK + os.getpid() % _NETWORKS
-    hosts = hosts_of(site, f'127.{network}.1', options.zones, TARGET_GROUPS)
+    hosts = hosts_of(site, network, options.zones, TARGET_GROUPS)
     plan = plan_of(
         Spread(site=site, hosts=hosts, length_s=length_s, seed=seed),
         options.day,
@@ -73,11 +69,13 @@
     """Play seeds one after the other and print what each of them lost."""
     options = _parse()
     lost = 0
+    network, claim = claim_network()
     for seed in range(options.first, options.first + options.seeds):
-        scene = _scene(options, seed)
+        scene = _scene(options, network, seed)
         run = DeploymentRun(scene=scene, code=options.code.resolve())
         asyncio.run(run.play())
         lost += print_report(scene, scene.folder)
+    claim.close()
     return 1 if lost else 0
 
 
