--- a/fescueknot/telemetry/standard_streams.py
+++ b/fescueknot/telemetry/standard_streams.py
@@ -10,7 +10,7 @@
 
 
 def open_missing() -> None:
-    """Lead each standard stream that is closed nowhere.
+    """Open each standard stream that is closed on the null device.
 
     Otherwise the next socket gets its descriptor, and what is written to the
     stream goes to a client.
