Bound the lines of answers of the older thread path

Seen in the code, and in a trial: a target that sends `100 Continue` without end held a call with a deadline of 1 s until it closed itself, after 6 s.

Cause: `http.client` skips any number of interim responses and of trailers.

Change: 4 MB for all lines of a response, on the connections to targets, nodes and the store; more is a lost answer.

Tests that failed before ("DID NOT RAISE"): of targets, test_one_with_lines_ without_end_is_lost, both cases; of the store, test_a_very_long_answer_is_lost, the two new answers. They pass now, with all others of these two files.

What remains: lines that come slowly still pass the deadline until they are 4 MB.

--- a/fescueknot/node/connections.py
+++ b/fescueknot/node/connections.py
@@ -21,6 +21,7 @@
     HttpRequest,
     without_headers,
 )
+from fescueknot.objectapi.bounded_response import BoundedResponse
 
 _MAX_IDLE_S = 20.0
 _CONNECT_TIMEOUT_S = 1.0
@@ -61,6 +62,7 @@
             address.port,
             timeout=_CONNECT_TIMEOUT_S,
         )
+        self._http.response_class = BoundedResponse
         self.last_used_s: float = 0
 
     def open(self, *, timeout_s: float) -> None:
--- a/fescueknot/objectapi/connections.py
+++ b/fescueknot/objectapi/connections.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from fescueknot.identity import Address
+from fescueknot.objectapi.bounded_response import BoundedResponse
 from fescueknot.objectapi.errors import OutcomeUnknown, Unavailable
 
 _MAX_IDLE_CONNECTIONS = 8
@@ -91,6 +92,7 @@
             self._address.port,
             timeout=self._connect_timeout_s,
         )
+        connection.response_class = BoundedResponse
         try:
             connection.connect()
         except OSError as error:
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -58,6 +58,24 @@
         with pytest.raises(errors.AnswerLostError):
             pool.call(_REQUEST, deadline_s=_deadline_s(20))
 
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'HTTP/1.1 100 Continue\r\n\r\n' * 200_000 + _COMPLETE,
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+            + b'X: y\r\n' * 800_000
+            + b'\r\n',
+        ],
+        ids=['interim', 'trailers'],
+    )
+    def test_one_with_lines_without_end_is_lost(
+        self, servers: list[ScriptedServer], answer: bytes
+    ) -> None:
+        # Guards against targets that hold a call for ever, past its deadline.
+        pool = ConnectionPool(address=_serve(servers, answer))
+        with pytest.raises(errors.AnswerLostError):
+            pool.call(_REQUEST, deadline_s=_deadline_s(20))
+
     def test_connect_failure_means_not_run(self) -> None:
         with socket.create_server(('127.0.0.1', 0)) as unused:
             port = unused.getsockname()[1]
--- a/tests/objectapi/test_connections.py
+++ b/tests/objectapi/test_connections.py
@@ -88,6 +88,11 @@
     b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     + (b'10000\r\n' + bytes(65_536) + b'\r\n') * 260
     + b'0\r\n\r\n',
+    b'HTTP/1.1 100 Continue\r\n\r\n' * 200_000
+    + b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}',
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+    + b'X: y\r\n' * 800_000
+    + b'\r\n',
 )
 
 
