Add a matrix of what clients do against stops and changes of nodes

The rig of site files plays the sites' own requests. Which kinds of clients lose requests, in which trouble, and since which landing, it can't tell. A run of a target ends when its whole answer is with the kernel.

--- /dev/null
+++ b/tests/stop_matrix/test_target.py
@@ -0,0 +1,104 @@
+"""Targets of the matrix: what a path asks for, and when a run has ended."""
+
+import asyncio
+
+import pytest
+
+from tools.site_rig.records import RunEnd
+from tools.site_rig.target_connection import App, Arrival, Reply
+from tools.stop_matrix.target import MatrixTarget
+from tools.stop_matrix.target_side import MatrixConnection
+
+LONG_BYTES = 30_000_000
+REQUEST = b'GET /browse/w1/1 HTTP/1.1\r\nhost: x\r\n\r\n'
+
+
+class _Host:
+    name = 'a'
+
+
+class _LongAnswer(App):
+    async def answer(self, arrival):
+        return Reply(status=200, headers={}, body=b'x' * LONG_BYTES)
+
+
+class _Endless(App):
+    async def answer(self, arrival):
+        await asyncio.sleep(60)
+
+
+def reply_to(path: str, headers: dict[str, str]) -> Reply:
+    target = MatrixTarget(host=_Host(), records=None, caller=None)
+    arrival = Arrival(path=path, headers=headers)
+    return asyncio.run(target.answer(arrival))
+
+
+async def read_answer(reader: asyncio.StreamReader) -> None:
+    await reader.readuntil(b'\r\n\r\n')
+    await reader.readexactly(LONG_BYTES)
+
+
+def ends_of(app: App, *, reads: bool) -> list[list]:
+    """Return the noted ends before and after a client has read or left."""
+
+    async def play():
+        noted = []
+        server = await asyncio.get_running_loop().create_server(
+            lambda: MatrixConnection(
+                app=app, note=lambda *run: noted.append(run[2])
+            ),
+            '127.0.0.1',
+            0,
+        )
+        reader, writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname(), limit=1000
+        )
+        writer.write(REQUEST)
+        await asyncio.sleep(0.2)
+        before = list(noted)
+        if reads:
+            await read_answer(reader)
+        writer.transport.abort()
+        await asyncio.sleep(0.2)
+        server.close()
+        return [before, noted]
+
+    return asyncio.run(play())
+
+
+class TestWork:
+    """What a path asks for."""
+
+    @pytest.mark.parametrize(
+        ('path', 'given_ms', 'status', 'size'),
+        [
+            ('/browse/w1/1', '100', 200, 100),
+            ('/browse/s5000/1', '100', 200, 5000),
+            # It stops at its deadline and says so.
+            ('/browse/w200/1', '20', 504, 100),
+        ],
+    )
+    def test_path_tells_the_work(self, path, given_ms, status, size):
+        reply = reply_to(path, {'x-fescueknot-deadline-ms': given_ms})
+        assert (reply.status, len(reply.body)) == (status, size)
+
+    def test_request_for_another_target_does_not_run(self):
+        reply = reply_to(
+            '/browse/w1/1', {'x-fescueknot-expected-instance': 'other'}
+        )
+        assert reply.status == 421
+        assert 'x-fescueknot-not-executed' in reply.headers
+
+
+class TestEndOfRun:
+    """When a run has ended."""
+
+    # An answer that its caller has not taken is still the target's work.
+    def test_run_ends_when_its_answer_is_handed_over(self):
+        assert ends_of(_LongAnswer(), reads=True) == [[], [RunEnd.ANSWERED]]
+
+    def test_run_is_cut_with_an_answer_that_nobody_reads(self):
+        assert ends_of(_LongAnswer(), reads=False) == [[], [RunEnd.CUT]]
+
+    def test_run_is_cut_when_its_caller_leaves(self):
+        assert ends_of(_Endless(), reads=False) == [[], [RunEnd.CUT]]
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -88,6 +88,11 @@
             self._note(SignalKind.HUP)
             self._process.send_signal(signal.SIGHUP)
 
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal without a record."""
+        if self._is_running:
+            self._process.send_signal(number)
+
     async def restart(self) -> None:
         """Send SIGTERM, and start again after the end."""
         if self._is_stopping or not self._is_running:
--- /dev/null
+++ b/tools/stop_matrix/__init__.py
@@ -0,0 +1,1 @@
+"""Plays what clients do against what is done to nodes, landing by landing."""
--- /dev/null
+++ b/tools/stop_matrix/target_side.py
@@ -0,0 +1,46 @@
+"""A target's connection that knows when an answer has been handed over."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from tools.site_rig.records import RunEnd
+from tools.site_rig.target_connection import App, Arrival, TargetConnection
+
+_LOOK_S = 0.01
+_WRONG_TARGET = 421
+Note = Callable[[Arrival, float, RunEnd, int], None]
+
+
+class MatrixConnection(TargetConnection):
+    """Notes each run once the kernel has all of its answer."""
+
+    def __init__(self, *, app: App, note: Note) -> None:
+        super().__init__(app=app)
+        self._note = note
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _serve(self) -> None:
+        while True:
+            arrival = await self._arrivals.get()
+            began_s = time.monotonic()
+            try:
+                status = await self._serve_one(arrival)
+            except asyncio.CancelledError:
+                self._note(arrival, began_s, RunEnd.CUT, 0)
+                raise
+            end = RunEnd.ANSWERED
+            if status == _WRONG_TARGET:
+                end = RunEnd.REJECTED
+            self._note(arrival, began_s, end, status)
+
+    async def _serve_one(self, arrival: Arrival) -> int:
+        reply = await self._app.answer(arrival)
+        self._transport.write(reply.encode())
+        while self._transport.get_write_buffer_size():
+            await asyncio.sleep(_LOOK_S)
+        return reply.status
