Enforce the memory of nodes in the matrix, beside answers without end

A process that exceeds its memory is killed by the platform, and all that it had in progress ends with it. The kill is a trouble now, and targets can answer without end: those requests count as broken off by their target, the others as lost. Two further standstills: SIGTERM seen a little late, and an idle node.

--- a/tests/stop_matrix/test_target.py
+++ b/tests/stop_matrix/test_target.py
@@ -10,7 +10,8 @@
 from tools.stop_matrix.target_side import MatrixConnection
 
 LONG_BYTES = 30_000_000
-REQUEST = b'GET /browse/w1/1 HTTP/1.1\r\nhost: x\r\n\r\n'
+REQUEST = b'GET %b HTTP/1.1\r\nhost: x\r\n\r\n'
+USUAL = b'/browse/w1/1'
 
 
 class _Host:
@@ -38,7 +39,9 @@
     await reader.readexactly(LONG_BYTES)
 
 
-def ends_of(app: App, *, reads: bool) -> list[list]:
+def ends_of(
+    app: App, *, reads: bool, path: bytes = USUAL
+) -> list[list[RunEnd]]:
     """Return the noted ends before and after a client has read or left."""
 
     async def play():
@@ -53,7 +56,7 @@
         reader, writer = await asyncio.open_connection(
             *server.sockets[0].getsockname(), limit=1000
         )
-        writer.write(REQUEST)
+        writer.write(REQUEST % path)
         await asyncio.sleep(0.2)
         before = list(noted)
         if reads:
@@ -102,3 +105,8 @@
 
     def test_run_is_cut_when_its_caller_leaves(self):
         assert ends_of(_Endless(), reads=False) == [[], [RunEnd.CUT]]
+
+    # The requests of others are counted beside it, not its own.
+    def test_endless_answer_is_the_targets_fault(self):
+        ends = ends_of(_Endless(), reads=True, path=b'/browse/endless/1')
+        assert ends == [[], [RunEnd.BROKE_OFF]]
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -15,6 +15,7 @@
 from tools.site_rig.site import Bounds
 
 _MS_PER_S = 1000
+_KB_PER_MB = 1024
 _POLL_S = 0.02
 _RESTART_S = 0.5
 _ROLES = ('callers', 'peers', 'ready', 'heartbeats', 'gossip')
@@ -93,6 +94,14 @@
         if self._is_running:
             self._process.send_signal(number)
 
+    def resident_mb(self) -> float:
+        """Return the memory of the process, 0 if it has ended."""
+        if not self._is_running:
+            return 0
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        _, _, resident = status.partition('VmRSS:')
+        return float(resident.split()[0]) / _KB_PER_MB if resident else 0
+
     async def restart(self) -> None:
         """Send SIGTERM, and start again after the end."""
         if self._is_stopping or not self._is_running:
--- a/tools/stop_matrix/behaviours.py
+++ b/tools/stop_matrix/behaviours.py
@@ -172,6 +172,7 @@
         'readers': _readers(12_000_000, 5, _EARLY_S),
         'more_readers': _readers(12_000_000, 10, _EARLY_S),
         'late_readers': _readers(4_000_000, 10, _LATE_S),
+        'endless': _opened('/browse/endless/1', 0.25),
         'half_close': _opened('/browse/w100/1', 0.3, half_closes=True),
         'half_close_kept': functools.partial(
             at_each, step_s=0.3, work=half_close_kept
--- a/tools/stop_matrix/stops.py
+++ b/tools/stop_matrix/stops.py
@@ -8,6 +8,7 @@
 from tools.stop_matrix.field import Field, Trouble
 
 FIRST = 'a'
+_LOOK_S = 0.02
 _STORE_SILENT_S = -1.0
 _LEAVES_S = -2.7
 _IS_GONE_S = -0.1
@@ -64,6 +65,17 @@
     await stop(field, FIRST)
 
 
+async def enforce_memory(field: Field) -> None:
+    """Kill each process that takes more memory than it has."""
+    for node in field.nodes.values():
+        field.spawn(node.revive())
+    while True:
+        for node in field.nodes.values():
+            if node.resident_mb() > node.host.memory_mb:
+                node.end()
+        await asyncio.sleep(_LOOK_S)
+
+
 async def stop_often(field: Field) -> None:
     """Stop the node as soon as it runs again."""
     for pause_s in _PAUSES_S:
@@ -97,9 +109,13 @@
         'silent_store': stop_beside_silence,
         'closing_targets': stop_beside_closes,
         'often': stop_often,
+        'memory': enforce_memory,
         # The node sees SIGTERM late.
         'seen_late': _still(-0.2, 1.0),
+        'seen_a_little_late': _still(-0.1, 0.45),
         'still_at_3': _still(2.6, 0.7),
+        # Without long work, listening ends and the process too.
+        'still_when_idle': _still(3.15, 0.5),
         'still_at_4': _still(3.9, 0.7),
         'still_at_5': _still(5.0, 0.6),
         'briefly_still_at_5': _still(5.0, 0.35),
