--- a/tools/stop_matrix/field.py
+++ b/tools/stop_matrix/field.py
@@ -33,6 +33,7 @@
 )
 _CALM_S = 3.5
 _LAST_ANSWERS_S = 4.0
+_END_S = 0.2
 # Every run has addresses of its own.
 _FIRST_NETWORK = 32
 _NETWORKS = 95
@@ -135,6 +136,8 @@
             await self._run(trouble)
         finally:
             self._end()
+        # What is cut by the end is noted before the records are closed.
+        await asyncio.sleep(_END_S)
         self._records.close()
 
     async def _run(self, trouble: 'Trouble') -> None:
