--- a/fescueknot/httpio/client_connection.py
+++ b/fescueknot/httpio/client_connection.py
@@ -14,12 +14,12 @@
     joined,
 )
 from fescueknot.httpio.errors import AnswerLostError
-from fescueknot.httpio.kernel_buffers import has_input
+from fescueknot.httpio.kernel_buffers import has_input, rest_of_input
 from fescueknot.httpio.message_parser import MalformedError
 from fescueknot.httpio.messages import Request, Response
 from fescueknot.httpio.numbers import parse_count
 from fescueknot.httpio.paced_writer import PacedWriter
-from fescueknot.httpio.parsing import (
+from fescueknot.httpio.response_parser import (
     MAX_RESPONSE_BODY_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
     ResponseParser,
@@ -96,10 +96,14 @@
         """Deliver a response that ends with the connection, else fail."""
         self.reusable = False
         self._writer.resume()
+        if isinstance(exc, OSError):
+            # A write may have failed after the answer had come.
+            self.data_received(rest_of_input(self._transport))
         final_response = None if exc else self._parser.finish()
         if final_response is not None:
             self._deliver((final_response,))
         self._fail(f'connection lost: {exc!r}')
+        self._parser.close()
         self._share.resize(0)
 
     def eof_received(self) -> bool:
@@ -125,6 +129,8 @@
             self._deliver(self._parser.pop_complete())
             self._fail(f'no HTTP: {error}')
             self.close()
+            # Many may be refused before the event loop ends the first one.
+            self._parser.close()
             return
         self._deliver(responses)
         self._count_held()
@@ -165,10 +171,15 @@
         try:
             return await self._response_future
         finally:
-            if not self._is_clean():
-                self.close()
-            # An idle connection is not to keep the response.
-            self._response_future = None
+            self._end_exchange()
+
+    def _end_exchange(self) -> None:
+        if not self._is_clean():
+            self.close()
+        # An idle or closed connection is not to keep the response, nor the
+        # request by the function that knows its answer.
+        self._response_future = None
+        self._accepts = None
 
     def _is_clean(self) -> bool:
         """Return whether the last exchange is complete in both directions."""
@@ -199,7 +210,10 @@
                 and not self._response_future.done()
             )
             if is_awaited and self._accepts(response):
-                self._apply_keep_alive(response)
+                self.reusable = self.reusable and not response.closing
+                timeout_s = _idle_timeout_s(response)
+                if timeout_s is not None:
+                    self.server_idle_timeout_s = timeout_s
                 self._response_future.set_result(response)
             else:
                 self.reusable = False
@@ -211,11 +225,13 @@
         ):
             self._response_future.set_exception(AnswerLostError(reason))
 
-    def _apply_keep_alive(self, response: Response) -> None:
-        if response.closing:
-            self.reusable = False
-        for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
-            name, _, seconds = part.strip().partition('=')
-            timeout_s = parse_count(seconds)
-            if name == 'timeout' and timeout_s is not None:
-                self.server_idle_timeout_s = float(timeout_s)
+
+def _idle_timeout_s(response: Response) -> float | None:
+    """Return how long the server keeps an idle connection, if it says so."""
+    timeout_s = None
+    for part in (response.header(_KEEP_ALIVE_HEADER) or '').split(','):
+        name, _, seconds = part.strip().partition('=')
+        count = parse_count(seconds)
+        if name == 'timeout' and count is not None:
+            timeout_s = float(count)
+    return timeout_s
--- a/fescueknot/httpio/server.py
+++ b/fescueknot/httpio/server.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from fescueknot.httpio.buffer_budget import BufferBudget
-from fescueknot.httpio.connection import ConnectionOwner, ServerConnection
+from fescueknot.httpio.connection import ServerConnection
+from fescueknot.httpio.connection_owner import ConnectionOwner
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.listener import Listener
 from fescueknot.httpio.pipeline import AnswerFuture
@@ -48,6 +49,11 @@
         """
         return sum(connection.has_unread for connection in self._connections)
 
+    @property
+    def requests_unfinished(self) -> int:
+        """Return the number of requests that have been received in part."""
+        return sum(connection.is_receiving for connection in self._connections)
+
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -31,6 +31,8 @@
     CUT = 'cut'
     # The target itself closed the connection.
     BROKE_OFF = 'broke off'
+    # The target has run it and never answers.
+    SILENT = 'silent'
 
 
 class SignalKind(enum.StrEnum):
@@ -39,8 +41,15 @@
     TERM = 'SIGTERM'
     HUP = 'SIGHUP'
     CONFIGURATION = 'configuration'
+    KILL = 'SIGKILL'
     START = 'start'
     END = 'end'
+    # It had ended by itself.
+    REVIVAL = 'revival'
+    # A process that used more memory than it has was killed: an own end.
+    OVER_MEMORY = 'over memory'
+    # Trouble of targets or clients; it excuses nothing.
+    TROUBLE = 'trouble'
 
 
 class RequestRecord(
@@ -68,6 +77,8 @@
     is_reset: bool = False
     # The longest time that the caller's loop stood still meanwhile.
     lag_s: float = 0
+    # How its client used the connection, '' for the usual manner.
+    manner: str = ''
 
     @property
     def lasted_s(self) -> float:
@@ -89,6 +100,15 @@
     status: int = 0
 
 
+class MemoryRecord(msgspec.Struct, frozen=True, kw_only=True, tag='memory'):
+    """The peak of a node's process, and its open descriptors then."""
+
+    host: str
+    pid: int
+    peak_mb: float
+    descriptors: int
+
+
 class LagRecord(msgspec.Struct, frozen=True, kw_only=True, tag='lag'):
     """A moment up to which a loop stood still."""
 
@@ -105,7 +125,26 @@
     detail: str = ''
 
 
-Record = RequestRecord | RunRecord | LagRecord | SignalRecord
+class TroubleRecord(
+    msgspec.Struct, frozen=True, kw_only=True, tag='trouble', omit_defaults=True
+):
+    """An unplanned disruption of a machine, or of its target alone."""
+
+    host: str
+    kind: str
+    from_s: float
+    until_s: float
+    is_of_target: bool = False
+
+
+Record = (
+    RequestRecord
+    | RunRecord
+    | MemoryRecord
+    | LagRecord
+    | SignalRecord
+    | TroubleRecord
+)
 
 
 class RecordFile:
--- a/tools/stop_matrix/client.py
+++ b/tools/stop_matrix/client.py
@@ -113,7 +113,7 @@
             await exchange.wait(ask.deadline_s + _PATIENCE_S)
         except TimeoutError:
             connection.close()
-        if sending.done() or exchange.status:
+        if sending.done() or exchange.answer.status:
             self._note(attempt, exchange, ask)
         sending.cancel()
         return exchange
@@ -144,8 +144,8 @@
                 ended_s=exchange.ended_s or time.monotonic(),
                 outcome=exchange.outcome,
                 time_left_s=ask.deadline_s,
-                status=exchange.status,
-                is_signed=exchange.is_signed,
+                status=exchange.answer.status,
+                is_signed=exchange.answer.is_signed,
                 is_behind=exchange.is_behind,
                 is_kept=exchange.is_kept,
                 is_reset=exchange.is_reset,
--- a/tools/stop_matrix/field.py
+++ b/tools/stop_matrix/field.py
@@ -12,6 +12,7 @@
 
 from fescueknot.httpio.server import Server
 from tools.site_rig.node_process import NodeProcess
+from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.readiness import wait_until_ready
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import ROUTE_HOST, Host
@@ -162,15 +163,16 @@
         )
         await target.start()
         self.targets[host.name] = target
+        settings = NodeSettings(
+            host=host, store=store, folder=self._play.folder, bounds=BOUNDS
+        )
+        settings.write()
         node = NodeProcess(
             host=host,
-            store=store,
-            folder=self._play.folder,
+            settings=settings,
             code=self._play.code,
-            bounds=BOUNDS,
             records=self._records,
         )
-        node.configure()
         node.start()
         self.nodes[host.name] = node
         self.spawn(target.announce())
--- a/tools/stop_matrix/stops.py
+++ b/tools/stop_matrix/stops.py
@@ -8,7 +8,6 @@
 from tools.stop_matrix.field import Field, Trouble
 
 FIRST = 'a'
-_LOOK_S = 0.02
 _STORE_SILENT_S = -1.0
 _LEAVES_S = -2.7
 _IS_GONE_S = -0.1
@@ -69,11 +68,7 @@
     """Kill each process that takes more memory than it has."""
     for node in field.nodes.values():
         field.spawn(node.revive())
-    while True:
-        for node in field.nodes.values():
-            if node.resident_mb() > node.host.memory_mb:
-                node.end()
-        await asyncio.sleep(_LOOK_S)
+        field.spawn(node.watch_memory())
 
 
 async def stop_often(field: Field) -> None:
--- a/tools/stop_matrix/target.py
+++ b/tools/stop_matrix/target.py
@@ -12,8 +12,9 @@
 from fescueknot.identity import Address
 from fescueknot.platform.headers import PLATFORM_HEADERS as NAMES
 from tools.site_rig.records import RecordFile, RunEnd, RunRecord
+from tools.site_rig.replies import Reply
 from tools.site_rig.scene import Host
-from tools.site_rig.target_connection import App, Arrival, Reply
+from tools.site_rig.target_connection import App, Arrival
 from tools.stop_matrix.client import Ask, Client
 from tools.stop_matrix.target_side import MatrixConnection
 
@@ -92,6 +93,9 @@
         status, size = await self._work(arrival, attempt)
         return Reply(status=status, headers=headers, body=b'x' * size)
 
+    def reject_early(self, arrival: Arrival) -> None:
+        """Take every body."""
+
     def note(
         self, arrival: Arrival, began_s: float, end: RunEnd, status: int
     ) -> None:
@@ -136,7 +140,7 @@
             )
             connection = await self._caller.open()
             exchange = await self._caller.ask(connection, call)
-            if exchange is None or exchange.status != _OK:
+            if exchange is None or exchange.answer.status != _OK:
                 return _FAILED
         return _OK
 
