Leave a margin before work that is too late for a stop

Cause: 2.2 s of intake and 0.8 s of delay are 3.0 s exactly. Change: new work of callers is taken for 2.1 s. The second miss of readiness comes 2.0 s after the signal is seen at the latest. Before: TestLateSignal fails with 0.85 s.

--- a/fescueknot/relay/graceful_stop.py
+++ b/fescueknot/relay/graceful_stop.py
@@ -10,7 +10,7 @@
 # During this time each connection is closed after its answer in progress, so
 # that callers move to other nodes. New requests of callers are still relayed.
 # All times count from when the process sees the signal, late if it is busy.
-_CALLERS_LEAVE_WAIT_S = 2.2
+_CALLERS_LEAVE_WAIT_S = 2.1
 # Without requests in progress for this time, the node counts as idle.
 _MIN_IDLE_S = 0.4
 # Part of the grace period that is kept for the last answers.
--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -25,7 +25,7 @@
 
 _GRACE_S = 6
 # No work of callers is taken after the first time, no calls after the second.
-_CALLERS_LEFT_S = 2.2
+_CALLERS_LEFT_S = 2.1
 _INTAKE_ENDS_S = 4.2
 # Work that is sent after this time is not to be broken off.
 _LATE_REQUEST_S = 3
@@ -222,7 +222,7 @@
 
     # Guards against a connection that ends without an answer, for instance as
     # the target's answer was lost.
-    @pytest.mark.parametrize('after_s', [0, 2.1])
+    @pytest.mark.parametrize('after_s', [0, 2])
     def test_one_that_has_no_answer_in_the_end_gets_one(self, after_s):
         response, sent = _late_call(after_s, NO_REPLY, idempotent=False)
         assert response is not None
@@ -241,7 +241,7 @@
 
 
 # How late a busy process sees SIGTERM.
-@pytest.mark.parametrize('late_s', [0, 0.2, 0.4, 0.8])
+@pytest.mark.parametrize('late_s', [0, 0.2, 0.4, 0.85])
 class TestLateSignal:
     """Requests of a node that waits for a processor as its stop begins."""
 
