Give the calls of each run ids of their own, in rig and matrix

Seen: the matrix of stops at with links of 20 ms reported three lost calls (closing_targets, often). Each was a call that was refused, 503, by a node without room, whose id came again 0.1 s later from the second run of the same request at another target: the check took that run for one that the node had broken off. Records: calls.15668-0, asked at host a and answered 503 after 0.049 s, asked again at host b 0.16 s later and answered 200.

The ids now hold a random part a run. Shown by TestCalls::test_ids_of_calls_differ_between_runs and _between_targets, which failed before (2 ids of 8 calls; 1 of 2).

--- a/tests/site_rig/test_target.py
+++ b/tests/site_rig/test_target.py
@@ -3,11 +3,15 @@
 import asyncio
 import pathlib
 import random
+import types
 
+import msgspec
 import pytest
 
 from tests.site_rig.small_site import small_hosts, small_site
-from tools.site_rig.records import RecordFile, RunEnd, read_records
+from tools.site_rig.exchanges import Answer
+from tools.site_rig.records import Outcome, RecordFile, RunEnd, read_records
+from tools.site_rig.site import CallRule, Site
 from tools.site_rig.target import SiteTarget
 from tools.site_rig.target_connection import Arrival
 
@@ -78,3 +82,50 @@
         asyncio.run(cut())
 
         assert stand.ends() == [end]
+
+
+class _Caller:
+    """Answers each call, and keeps its id."""
+
+    def __init__(self) -> None:
+        self.attempts: list[str] = []
+
+    async def send(self, order):
+        """Answer."""
+        self.attempts.append(order.attempt)
+        return types.SimpleNamespace(
+            outcome=Outcome.ANSWERED, answer=Answer(status=200)
+        )
+
+
+def _calling_site() -> Site:
+    """Return a site whose reads call themselves once."""
+    site = small_site()
+    (read,) = site.classes
+    calling = msgspec.structs.replace(read, calls=(CallRule(name='read'),))
+    return msgspec.structs.replace(site, classes=(calling,))
+
+
+class TestCalls:
+    """Calls of a run."""
+
+    # Guards against the run of a repeated request that is taken for that of
+    # the first: their calls are requests of their own.
+    def test_ids_of_calls_differ_between_targets(self, tmp_path):
+        caller = _Caller()
+        arrival = Arrival(
+            method='GET',
+            path='/read/1',
+            headers={'x-fescueknot-attempt-id': 'first'},
+        )
+        for host in small_hosts()[:2]:
+            target = SiteTarget(
+                host=host,
+                site=_calling_site(),
+                records=RecordFile(path=tmp_path / host.name),
+                rng=random.Random(1),
+            )
+            target._caller = caller
+            asyncio.run(target.answer(arrival))
+        assert len(caller.attempts) == 2
+        assert len(set(caller.attempts)) == 2
--- a/tests/stop_matrix/test_target.py
+++ b/tests/stop_matrix/test_target.py
@@ -1,9 +1,11 @@
 """Targets of the matrix: what a path asks for, and when a run has ended."""
 
 import asyncio
+import types
 
 import pytest
 
+from tools.site_rig.exchanges import Answer
 from tools.site_rig.records import RunEnd
 from tools.site_rig.replies import Reply
 from tools.site_rig.target_connection import App, Arrival
@@ -29,6 +31,21 @@
         return Reply(status=200, headers={}, body=b'x' * LONG_BYTES)
 
 
+class _Caller:
+    """Answers each call, and keeps its id."""
+
+    def __init__(self):
+        self.attempts = []
+
+    async def open(self):
+        """Return no connection."""
+
+    async def ask(self, connection, ask):
+        """Answer."""
+        self.attempts.append(ask.attempt)
+        return types.SimpleNamespace(answer=Answer(status=200))
+
+
 class _Endless(_Whole):
     async def answer(self, arrival):
         await asyncio.sleep(60)
@@ -99,6 +116,22 @@
         assert 'x-fescueknot-not-executed' in reply.headers
 
 
+class TestCalls:
+    """Calls of a run."""
+
+    # Guards against the run of a repeated request that is taken for that of
+    # the first: their calls are requests of their own.
+    def test_ids_of_calls_differ_between_runs(self):
+        caller = _Caller()
+        path, headers = '/call/w1/1', {'x-fescueknot-attempt-id': 'calls.1'}
+        for _ in range(2):
+            target = MatrixTarget(host=_Host(), records=None, caller=caller)
+            arrival = Arrival(path=path, headers=headers)
+            asyncio.run(target.answer(arrival))
+            asyncio.run(target.answer(arrival))
+        assert len(set(caller.attempts)) == 8
+
+
 class TestEndOfRun:
     """When a run has ended."""
 
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 
 import msgspec
@@ -18,6 +19,7 @@
 from tools.site_rig.target_troubles import TargetTroubles
 
 _MS_PER_S = 1000
+_RUN_ID_BYTES = 4
 _PARTS_OF_WORK = 2
 _FULL = 503
 _WRONG_TARGET = 421
@@ -128,7 +130,8 @@
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
-        attempts = [f'{run.attempt}.{number}' for number in range(rule.times)]
+        prefix = f'{run.attempt}.{secrets.token_hex(_RUN_ID_BYTES)}'
+        attempts = [f'{prefix}.{number}' for number in range(rule.times)]
         if rule.together:
             calls = [self._send(run, kind, attempt) for attempt in attempts]
             return all(await asyncio.gather(*calls))
--- a/tools/stop_matrix/target.py
+++ b/tools/stop_matrix/target.py
@@ -1,6 +1,7 @@
 """A target whose work is told by the path of the request."""
 
 import asyncio
+import secrets
 import time
 
 import msgspec
@@ -24,6 +25,7 @@
 _DEFAULT_DEADLINE_MS = 6000
 _BODY_BYTES = 100
 _CALLS = 2
+_RUN_ID_BYTES = 4
 _PAUSE_S = 0.1
 _OK = 200
 _FAILED = 500
@@ -130,12 +132,13 @@
     async def _call(self, attempt: str, amount: int, given_ms: float) -> int:
         """Call one after the other, with a little work before each."""
         ends_s = time.monotonic() + given_ms / _MS_PER_S
+        run = secrets.token_hex(_RUN_ID_BYTES)
         for number in range(_CALLS):
             await asyncio.sleep(_PAUSE_S)
             left_ms = int((ends_s - time.monotonic()) * _MS_PER_S)
             call = Ask(
                 path=f'/inner/w{amount}/1',
-                attempt=f'{attempt}-{number}',
+                attempt=f'{attempt}-{run}-{number}',
                 deadline_ms=max(left_ms, 1),
             )
             connection = await self._caller.open()
