Note a run as answered when its caller closes behind the answer

Seen: a run whose answer of 12 MB had been read whole by the node beside the target (gate.sent, answered) was noted as cut, as the node closed the connection within the 10 ms between two looks at the buffer.

A connection that ends without an error has sent all that was written. Shown by TestEndOfRun::test_run_is_answered_when_its_caller_closes_behind_the_answer, which failed before.

--- a/tests/stop_matrix/test_target.py
+++ b/tests/stop_matrix/test_target.py
@@ -31,6 +31,11 @@
         return Reply(status=200, headers={}, body=b'x' * LONG_BYTES)
 
 
+class _ShortAnswer(_Whole):
+    async def answer(self, arrival):
+        return Reply(status=200, headers={}, body=b'x')
+
+
 class _Caller:
     """Answers each call, and keeps its id."""
 
@@ -51,6 +56,27 @@
         await asyncio.sleep(60)
 
 
+class _ClosingTransport:
+    """Its caller takes a whole answer and closes at once."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._left_bytes = 0
+
+    def write(self, answer):
+        """Take all, and close in a later turn."""
+        self._left_bytes = len(answer)
+        asyncio.get_running_loop().call_soon(self._close)
+
+    def get_write_buffer_size(self):
+        """Return what is not taken yet."""
+        return self._left_bytes
+
+    def _close(self):
+        self._left_bytes = 0
+        self._connection.connection_lost(None)
+
+
 def reply_to(path: str, headers: dict[str, str]) -> Reply:
     target = MatrixTarget(host=_Host(), records=None, caller=None)
     arrival = Arrival(path=path, headers=headers)
@@ -135,6 +161,22 @@
 class TestEndOfRun:
     """When a run has ended."""
 
+    # Guards against blaming a caller that closes as soon as it has all.
+    def test_run_is_answered_when_its_caller_closes_behind_the_answer(self):
+        noted = []
+
+        async def play():
+            connection = MatrixConnection(
+                app=_ShortAnswer(), note=lambda *run: noted.append(run[2])
+            )
+            transport = _ClosingTransport(connection)
+            connection.connection_made(transport)
+            connection.data_received(REQUEST % USUAL)
+            await asyncio.sleep(0.1)
+
+        asyncio.run(play())
+        assert noted == [RunEnd.ANSWERED]
+
     # An answer that its caller has not taken is still the target's work.
     def test_run_ends_when_its_answer_is_handed_over(self):
         assert ends_of(_LongAnswer(), reads=True) == [[], [RunEnd.ANSWERED]]
--- a/tools/stop_matrix/target_side.py
+++ b/tools/stop_matrix/target_side.py
@@ -22,6 +22,14 @@
     def __init__(self, *, app: App, note: Note) -> None:
         super().__init__(app=app)
         self._note = note
+        self._status = 0
+        self._is_taken = False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Drop the requests, but for one whose answer has been taken."""
+        # Without an error, all that was written has left.
+        self._is_taken = error is None and bool(self._status)
+        super().connection_lost(error)
 
     def abort(self) -> None:
         """Close at once."""
@@ -32,15 +40,25 @@
         while True:
             arrival = await self._arrivals.get()
             began_s = time.monotonic()
+            self._status = 0
             try:
-                status = await self._serve_one(arrival)
+                await self._serve_one(arrival)
             except asyncio.CancelledError:
-                self._note(arrival, began_s, _end_of_cut(arrival), 0)
+                self._note_cut(arrival, began_s)
                 raise
-            end = RunEnd.ANSWERED
-            if status == _WRONG_TARGET:
-                end = RunEnd.REJECTED
-            self._note(arrival, began_s, end, status)
+            self._note(arrival, began_s, self._end(), self._status)
+
+    def _note_cut(self, arrival: Arrival, began_s: float) -> None:
+        """Note a run whose connection has ended."""
+        if self._is_taken:
+            self._note(arrival, began_s, self._end(), self._status)
+        else:
+            self._note(arrival, began_s, _end_of_cut(arrival), 0)
+
+    def _end(self) -> RunEnd:
+        """Return how a run with an answer has ended."""
+        is_rejected = self._status == _WRONG_TARGET
+        return RunEnd.REJECTED if is_rejected else RunEnd.ANSWERED
 
     async def _send_without_end(self) -> None:
         """Send a body until the caller closes."""
@@ -50,14 +68,14 @@
                 self._transport.write(_PIECE)
             await asyncio.sleep(_PAUSE_S)
 
-    async def _serve_one(self, arrival: Arrival) -> int:
+    async def _serve_one(self, arrival: Arrival) -> None:
         if _ENDLESS in arrival.path:
             await self._send_without_end()
         reply = await self._app.answer(arrival)
         self._transport.write(reply.encode())
+        self._status = reply.status
         while self._transport.get_write_buffer_size():
             await asyncio.sleep(_LOOK_S)
-        return reply.status
 
 
 def _end_of_cut(arrival: Arrival) -> RunEnd:
