--- a/tools/stop_matrix/stops.py
+++ b/tools/stop_matrix/stops.py
@@ -108,6 +108,7 @@
         # The node sees SIGTERM late.
         'seen_late': _still(-0.2, 1.0),
         'seen_a_little_late': _still(-0.1, 0.45),
+        'seen_very_late': _still(-0.2, 1.7),
         'still_at_3': _still(2.6, 0.7),
         # Without long work, listening ends and the process too.
         'still_when_idle': _still(3.15, 0.5),
