Drop interim responses to HEAD instead of passing them on as the answer

A caller of HEAD got 100 or 103 as its final answer if the target's interim response carried the attempt id; the answer behind it was dropped and the connection closed. The parser took the end of any head of a response to HEAD for the end of the final response. It now does so for final statuses only.

tests/httpio/test_parsing.py: both cases of the new test failed before, with [103, 200] and [100, 200] found.

--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -122,9 +122,12 @@
         headers = dict(self._headers)
         framing_headers = headers.keys() & _FRAMING_HEADERS
         self._reads_until_close = not framing_headers
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            return
         if self.to_head_request:
             self._complete.append(self._response(closing=True))
-        elif self._parser.get_status_code() not in _BODYLESS_STATUSES:
+        elif status not in _BODYLESS_STATUSES:
             self._check_body(int(headers.get('content-length', 0)))
 
     def on_message_complete(self) -> None:
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -121,6 +121,19 @@
         found = parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n')
         assert (found[0].body, found[0].closing) == (b'', True)
 
+    @pytest.mark.parametrize('status', [b'100 Continue', b'103 Early'])
+    def test_an_interim_response_to_head_is_dropped(self, status):
+        # Guards against passing it on as the answer, with the headers that
+        # show to which request it belongs.
+        parser = response_parser.ResponseParser()
+        parser.to_head_request = True
+        found = parser.feed(
+            b'HTTP/1.1 ' + status + b'\r\nX-Attempt: a\r\n\r\n'
+            b'HTTP/1.1 200 OK\r\nX-Attempt: a\r\nContent-Length: 9\r\n\r\n'
+        )
+        assert [response.status for response in found] == [200]
+        assert found[0].headers == (('x-attempt', 'a'), ('content-length', '9'))
+
 
 class TestPipelining:
     """Limits on requests of which several are received at once."""
