Count an unfinished header up to the limit of its head

With an operator's limit of 1 MiB, callers that send half a header cost twelve times what the books say, and proper requests are still taken on. The bound now follows the limit of the parser.

tests/httpio/test_buffer_budget.py: the four cases of the new test failed before (81920 >= 409600).

--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -10,8 +10,6 @@
 # regardless of its size. A chunk of one byte has five bytes of framing.
 _MAX_FRAMING_PER_BODY_BYTE = 8
 _MAX_FRAMING_BYTES = 16_384
-# The most that ``httptools`` holds before it reports it.
-_MAX_UNREPORTED_BYTES = 81_920
 # Empty lines before a message are ignored (RFC 9112, 2.2), up to this size.
 _MAX_EMPTY_BYTES = 4096
 # A longer body is handed on without a copy.
@@ -37,7 +35,8 @@
     peer sends. A body of any number of parts takes the memory of its bytes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_head_bytes: int) -> None:
+        self._max_head_bytes = max_head_bytes
         self._parser: httptools.HttpParser | None = None
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
@@ -53,7 +52,8 @@
         overhead_bytes = len(self._headers) * HEADER_OVERHEAD_BYTES
         reported_bytes = self._head_bytes + overhead_bytes + len(self._body)
         # ``httptools`` holds a header or trailer until it is complete.
-        received_bytes = min(self._received_bytes, _MAX_UNREPORTED_BYTES)
+        unreported_bytes = self._max_head_bytes + _MAX_FRAMING_BYTES
+        received_bytes = min(self._received_bytes, unreported_bytes)
         return max(reported_bytes, received_bytes)
 
     def close(self) -> None:
@@ -105,14 +105,14 @@
         if self._empty_bytes > _MAX_EMPTY_BYTES:
             raise MalformedError(f'{self._empty_bytes} bytes of empty lines')
 
-    def _check_framing(self, received_bytes: int, max_head_bytes: int) -> None:
+    def _check_framing(self, received_bytes: int) -> None:
         """Limit the bytes of chunk framing and trailers.
 
         Without a limit, a peer could send chunk extensions or trailers for
         ever, as they count neither as head nor as body.
         """
         self._received_bytes += received_bytes
-        allowed_bytes = max_head_bytes + _MAX_FRAMING_BYTES
+        allowed_bytes = self._max_head_bytes + _MAX_FRAMING_BYTES
         allowed_bytes += len(self._body) * (1 + _MAX_FRAMING_PER_BODY_BYTE)
         if self._received_bytes > allowed_bytes:
             raise MalformedError(f'{self._received_bytes} bytes without an end')
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -24,8 +24,7 @@
     """Parses the bytes of a client into requests."""
 
     def __init__(self, *, max_header_bytes: int, max_body_bytes: int) -> None:
-        super().__init__()
-        self.max_header_bytes = max_header_bytes
+        super().__init__(max_head_bytes=max_header_bytes)
         self.max_body_bytes = max_body_bytes
         self.has_begun = False
         self.in_body = False
@@ -37,7 +36,7 @@
 
     def apply_limits(self, limits: Limits) -> None:
         """Set the limits on the sizes of requests."""
-        self.max_header_bytes = limits.header_bytes
+        self._max_head_bytes = limits.header_bytes
         self.max_body_bytes = limits.body_bytes
 
     def feed(self, received: bytes) -> list[tuple[Request, bool]]:
@@ -153,14 +152,14 @@
         it belongs to that.
         """
         if self.in_body:
-            self._check_framing(received_bytes, self.max_header_bytes)
+            self._check_framing(received_bytes)
         else:
             # ``httptools`` reports a header only once it is complete.
             self._received_bytes += received_bytes
             self._check_head(self._received_bytes)
 
     def _check_head(self, received_bytes: int) -> None:
-        if max(self._head_bytes, received_bytes) > self.max_header_bytes:
+        if max(self._head_bytes, received_bytes) > self._max_head_bytes:
             self._refuse(HeadersTooLargeError, str(self._head_bytes))
 
     def _refuse(self, kind: type[Exception], detail: str) -> None:
--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -38,9 +38,8 @@
         max_head_bytes: int = MAX_RESPONSE_HEAD_BYTES,
         max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> None:
-        super().__init__()
+        super().__init__(max_head_bytes=max_head_bytes)
         self.to_head_request = False
-        self._max_head_bytes = max_head_bytes
         self._max_body_bytes = max_body_bytes
         self._interim_count = 0
         self._reason = b''
@@ -67,7 +66,7 @@
             # What a method of this class has raised is its context.
             raise MalformedError(str(error.__context__ or error)) from error
         if self._has_begun:
-            self._check_framing(len(received), self._max_head_bytes)
+            self._check_framing(len(received))
         elif was_between and self._messages_begun == begun_before:
             self._check_empty(len(received))
         return self.pop_complete()
--- a/tests/httpio/test_buffer_budget.py
+++ b/tests/httpio/test_buffer_budget.py
@@ -42,12 +42,14 @@
 }
 
 
-def _parser(kind):
+def _parser(kind, head_bytes=65_536):
     if kind == 'request':
         return RequestParser(
-            max_header_bytes=65_536, max_body_bytes=1_000_000_000
+            max_header_bytes=head_bytes, max_body_bytes=1_000_000_000
         )
-    return ResponseParser(max_body_bytes=1_000_000_000)
+    return ResponseParser(
+        max_head_bytes=head_bytes, max_body_bytes=1_000_000_000
+    )
 
 
 def _peak_bytes(parser, parts):
@@ -112,6 +114,16 @@
         if kind == 'request' or 'chunked' in str(rest):
             assert not parser.held_bytes
 
+    @pytest.mark.parametrize('rest', [b'X: ', _CHUNKED + b'0\r\nX: '])
+    @pytest.mark.parametrize('kind', _STARTS)
+    def test_one_is_counted_up_to_the_limit_of_its_head(self, kind, rest):
+        # Guards against counting 80 KiB of each where an operator allows 1 MiB.
+        parser = _parser(kind, head_bytes=1_048_576)
+        parser.feed(_STARTS[kind] + rest)
+        for _ in range(100):
+            parser.feed(b'x' * 4096)
+        assert parser.held_bytes >= 409_600
+
     @pytest.mark.parametrize('kind', _STARTS)
     def test_trailers_are_counted(self, kind):
         parser = _parser(kind)
