Take heads between nodes that are longer than callers' and targets' own

A call whose head a caller's node had accepted was answered 431 by the target's node, and the caller got 502 (each attempt of it): with heads of 65,420 bytes or more, as the first node adds a header to what both limit to 65,536 bytes; and with all heads above that where the operator's configuration allows them. The same in the other direction: an answer whose head the target's node had accepted was lost between the nodes. Nodes now take heads of 1 MiB from each other; they count in the memory of messages.

tests/relay/test_peers.py: the four cases of the new tests failed before (431, and 'a head of 65559 bytes'). All of tests/relay passed (521).

--- a/fescueknot/relay/peers.py
+++ b/fescueknot/relay/peers.py
@@ -43,12 +43,18 @@
 from fescueknot.routes.updates import RoutesUpdate
 
 _MS_PER_S = 1000
+# Between nodes, heads may be longer than those of callers and targets: a node
+# adds its own header, and the operator sets the limit of callers.
+_HEAD_BYTES = 1_048_576
 _PEER_CLIENT = ClientSettings(
-    connect_timeout_s=0.4, max_idle_s=20, max_idle_connections=24
+    connect_timeout_s=0.4,
+    max_idle_s=20,
+    max_idle_connections=24,
+    head_bytes=_HEAD_BYTES,
 )
 # Must exceed the idle time of the peer client (20 s): the client closes idle
 # connections first.
-_PEER_LIMITS = Limits(idle_timeout_s=30)
+_PEER_LIMITS = Limits(idle_timeout_s=30, header_bytes=_HEAD_BYTES)
 _FETCH_TIMEOUT_S = 1.0
 _MAX_VERSION_DIGITS = 19
 _FETCH_ERRORS = (
--- a/tests/relay/test_peers.py
+++ b/tests/relay/test_peers.py
@@ -37,7 +37,7 @@
         return self.reply
 
 
-def _call(attempt='c1', root='c1', route='r'):
+def _call(attempt='c1', root='c1', route='r', added_headers=()):
     head = CallHead(
         attempt=attempt,
         instance='i-1',
@@ -53,7 +53,12 @@
     request = Request(
         method='POST',
         target='/a?b',
-        headers=(('host', 'h'), (_HEADER_NAMES.attempt, attempt), ('x', 'y')),
+        headers=(
+            ('host', 'h'),
+            (_HEADER_NAMES.attempt, attempt),
+            ('x', 'y'),
+            *added_headers,
+        ),
         body=b'abc',
     )
     expires_s = asyncio.get_running_loop().time() + 5
@@ -130,6 +135,41 @@
         assert received_reply.response is None
 
 
+class TestLongHeads:
+    """Heads that are as long as those of callers and targets may be.
+
+    Guards against 431 and a lost answer between two nodes, which add a header
+    of their own to what the first one has accepted.
+    """
+
+    # The head of a caller that keeps to an operator's limit of 128 KiB.
+    @pytest.mark.parametrize('header_bytes', [65_400, 65_500, 130_000])
+    def test_a_call_arrives(self, header_bytes):
+        long_header = ('long', 'x' * header_bytes)
+
+        async def scenario():
+            reply = Reply(
+                head=AnswerHead(), response=Response(status=200, body=b'ok')
+            )
+            return await _exchange(reply, added_headers=(long_header,))
+
+        _, received_call, received_reply = run(scenario)
+        assert received_reply.head.ending is Ending.ANSWERED
+        assert received_call.request.header('long') == long_header[1]
+
+    def test_an_answer_arrives(self):
+        # With the limit of the targets' answers, less name and separator.
+        long_header = ('long', 'x' * (65_536 - 8))
+
+        async def scenario():
+            response = Response(status=200, headers=(long_header,))
+            return await _exchange(Reply(head=AnswerHead(), response=response))
+
+        _, _, received_reply = run(scenario)
+        assert received_reply.head.ending is Ending.ANSWERED
+        assert received_reply.response.headers == (long_header,)
+
+
 class TestNames:
     """Names that the operator or a target has chosen."""
 
