Hold the deadline of a whole exchange on the older path of threads

A call whose answer trickles in outlasted its deadline: the time limit of a socket begins again with each byte, and http.client reads interim answers, heads, chunks and trailers byte by byte if they come so. The client of the store on the same path had it too: its limit was meant for each wait, so a store that sends a byte now and then held a thread without an end. Each read of the socket now takes what is left of the deadline, and none is begun once it is over. The limit of a request to the store is that of its whole exchange.

--- a/fescueknot/clock.py
+++ b/fescueknot/clock.py
@@ -30,6 +30,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def time_left_s(deadline_s: float) -> float:
+    """Return how long a deadline of ``boot_time_s`` is ahead.
+
+    Raises ``TimeoutError`` if it is over.
+    """
+    left_s = deadline_s - boot_time_s()
+    if left_s <= 0:
+        raise TimeoutError
+    return left_s
+
+
 def suspended_s() -> float:
     """Return how long the host has been suspended since it booted."""
     return boot_time_s() - time.monotonic()
--- a/fescueknot/node/connections.py
+++ b/fescueknot/node/connections.py
@@ -5,6 +5,7 @@
 can't reach another call.
 """
 
+import functools
 import select
 import socket
 import threading
@@ -12,7 +13,7 @@
 from collections.abc import Callable
 from http import client as http_client
 
-from fescueknot.clock import boot_time_s
+from fescueknot.clock import boot_time_s, time_left_s
 from fescueknot.identity import Address
 from fescueknot.node import errors, headers
 from fescueknot.node.messages import (
@@ -62,7 +63,6 @@
             address.port,
             timeout=_CONNECT_TIMEOUT_S,
         )
-        self._http.response_class = BoundedResponse
         self.last_used_s: float = 0
 
     def open(self, *, timeout_s: float) -> None:
@@ -102,7 +102,8 @@
         """Send ``request`` and return the complete answer.
 
         Raise :class:`AnswerLostError` when the answer is truncated or late,
-        or the caller disconnects.
+        or the caller disconnects. An answer whose bytes come one by one is late
+        too.
         """
         try:
             return self._exchange(request, deadline_s, caller_gone)
@@ -124,7 +125,7 @@
         return self._receive(deadline_s)
 
     def _send(self, request: HttpRequest, deadline_s: float) -> None:
-        self._set_timeout(deadline_s)
+        self._http.sock.settimeout(time_left_s(deadline_s))
         fields = {header.name: header.text for header in request.headers}
         self._http.request(
             request.method,
@@ -148,7 +149,10 @@
                 raise errors.CallerGoneError('the caller went away')
 
     def _receive(self, deadline_s: float) -> HttpAnswer:
-        self._set_timeout(deadline_s)
+        self._http.response_class = functools.partial(
+            BoundedResponse,
+            left_s=functools.partial(time_left_s, deadline_s),
+        )
         response = self._http.getresponse()
         fields = tuple(
             Header(name=name, text=text) for name, text in response.getheaders()
@@ -156,7 +160,6 @@
         chunks = []
         left_bytes = _MAX_BODY_BYTES
         while not response.isclosed():
-            self._set_timeout(deadline_s)
             chunks.append(response.read(_READ_CHUNK_BYTES))
             left_bytes -= len(chunks[-1])
             if left_bytes < 0:
@@ -168,13 +171,6 @@
             body=b''.join(chunks),
         )
 
-    def _set_timeout(self, deadline_s: float) -> None:
-        left_s = deadline_s - boot_time_s()
-        if left_s <= 0:
-            raise TimeoutError
-        if self._http.sock is not None:
-            self._http.sock.settimeout(left_s)
-
 
 class ConnectionPool:
     """A pool of idle connections to one address; thread-safe."""
--- a/fescueknot/objectapi/connections.py
+++ b/fescueknot/objectapi/connections.py
@@ -5,6 +5,7 @@
 the idle connections as well.
 """
 
+import functools
 import queue
 import select
 import socket
@@ -13,6 +14,7 @@
 
 import msgspec
 
+from fescueknot.clock import boot_time_s, time_left_s
 from fescueknot.identity import Address
 from fescueknot.objectapi.bounded_response import BoundedResponse
 from fescueknot.objectapi.errors import OutcomeUnknown, Unavailable
@@ -23,7 +25,7 @@
 
 
 class Request(msgspec.Struct, frozen=True, kw_only=True):
-    """A request; ``timeout_s`` bounds each wait for bytes of its response."""
+    """A request; ``timeout_s`` bounds its whole exchange."""
 
     method: str
     target: str
@@ -92,7 +94,6 @@
             self._address.port,
             timeout=self._connect_timeout_s,
         )
-        connection.response_class = BoundedResponse
         try:
             connection.connect()
         except OSError as error:
@@ -109,13 +110,17 @@
 
 
 def _round_trip(connection: HTTPConnection, request: Request) -> Answer:
-    connection.sock.settimeout(request.timeout_s)
+    left_s = functools.partial(time_left_s, boot_time_s() + request.timeout_s)
+    connection.sock.settimeout(left_s())
     connection.request(
         request.method,
         request.target,
         body=request.body or None,
         headers=dict(request.headers),
     )
+    connection.response_class = functools.partial(
+        BoundedResponse, left_s=left_s
+    )
     response = connection.getresponse()
     return Answer(
         status=response.status,
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -8,10 +8,12 @@
 from fescueknot.calls import Outcome
 from fescueknot.clock import boot_time_s
 from fescueknot.identity import Address
+from fescueknot.node import connections as connections_module
 from fescueknot.node import errors
 from fescueknot.node.connections import ConnectionPool
 from fescueknot.node.messages import HttpRequest
 from tests.node.fakes import ScriptedServer
+from tests.slow_sockets import SlowSockets
 
 _COMPLETE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _TRUNCATED = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'
@@ -76,6 +78,35 @@
         with pytest.raises(errors.AnswerLostError):
             pool.call(_REQUEST, deadline_s=_deadline_s(20))
 
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'HTTP/1.1 100 Continue\r\n\r\n' * 50 + _COMPLETE,
+            _COMPLETE.replace(b'OK', b'x' * 100),
+            _COMPLETE.replace(b'OK', b'OK' + b'\r\nX: y' * 50),
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n' + bytes(99),
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'1\r\nx\r\n' * 50
+            + b'0\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+            + b'X: y\r\n' * 50
+            + b'\r\n',
+        ],
+        ids=['interim', 'status', 'head', 'body', 'chunks', 'trailers'],
+    )
+    def test_one_that_trickles_in_is_late(
+        self,
+        servers: list[ScriptedServer],
+        monkeypatch: pytest.MonkeyPatch,
+        answer: bytes,
+    ) -> None:
+        # Guards against a wait of the whole time again for each byte.
+        pool = ConnectionPool(address=_serve(servers, answer))
+        slow = SlowSockets(monkeypatch, connections_module)
+        with pytest.raises(errors.AnswerTimeoutError):
+            pool.call(_REQUEST, deadline_s=slow.now_s + 6)
+        assert slow.reads <= 48
+
     def test_connect_failure_means_not_run(self) -> None:
         with socket.create_server(('127.0.0.1', 0)) as unused:
             port = unused.getsockname()[1]
--- a/tests/objectapi/test_connections.py
+++ b/tests/objectapi/test_connections.py
@@ -10,9 +10,11 @@
 import pytest
 
 from fescueknot.identity import Address
+from fescueknot.objectapi import connections as connections_module
 from fescueknot.objectapi.connections import ConnectionPool, Request
 from fescueknot.objectapi.errors import OutcomeUnknown, Unavailable
 from fescueknot.objectapi.http_store import HttpStore
+from tests.slow_sockets import SlowSockets
 
 _LISTING = b'{"objects":[],"revision":0}'
 _RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
@@ -94,6 +96,15 @@
     + b'X: y\r\n' * 800_000
     + b'\r\n',
 )
+# Each is longer than the reads for which there is time.
+_TRICKLES = (
+    b'HTTP/1.1 100 Continue\r\n\r\n' * 50 + _RESPONSE,
+    b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n' + bytes(99),
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    + b'1\r\nx\r\n' * 50
+    + b'0\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n' + bytes(99),
+)
 
 
 class _LongAnswer(socketserver.BaseRequestHandler):
@@ -103,19 +114,39 @@
             self.request.sendall(self.server.answer)
 
 
-@pytest.mark.parametrize('answer', _LONG_ANSWERS)
-def test_a_very_long_answer_is_lost(answer: bytes) -> None:
-    # Guards against stores that send until the process has no memory.
+@contextlib.contextmanager
+def _pool_of(answer: bytes) -> Iterator[ConnectionPool]:
+    """Serve one answer to all requests of a pool."""
     with socketserver.ThreadingTCPServer(
         ('127.0.0.1', 0), _LongAnswer
     ) as server:
         server.answer = answer
         threading.Thread(target=server.serve_forever, daemon=True).start()
         host, port = server.server_address
-        pool = ConnectionPool(
+        yield ConnectionPool(
             address=Address(host=host, port=port), connect_timeout_s=5
         )
-        request = Request(method='GET', target='/', timeout_s=20)
+        server.shutdown()
+
+
+@pytest.mark.parametrize('answer', _LONG_ANSWERS)
+def test_a_very_long_answer_is_lost(answer: bytes) -> None:
+    # Guards against stores that send until the process has no memory.
+    request = Request(method='GET', target='/', timeout_s=20)
+    with _pool_of(answer) as pool, pytest.raises(OutcomeUnknown):
+        pool.exchange(request)
+
+
+@pytest.mark.parametrize(
+    'answer', _TRICKLES, ids=['interim', 'body', 'chunks', 'close']
+)
+def test_one_that_trickles_in_is_lost(
+    answer: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a wait of the whole time again for each byte.
+    request = Request(method='GET', target='/', timeout_s=6)
+    with _pool_of(answer) as pool:
+        slow = SlowSockets(monkeypatch, connections_module)
         with pytest.raises(OutcomeUnknown):
             pool.exchange(request)
-        server.shutdown()
+    assert slow.reads <= 48
