Keep critical requests in line for as long as they may wait

Deployed code changed: fescueknot/admission/queue.py (relay/slot_queue uses it).

Cause: the line of critical requests was bounded by 0.8 s of work, estimated from the mean of one window of four requests. At inscripcion-2 that mean went from 0.393 to 0.997 s at 5.82 s; the line went from 8 places to 4 and the gate put out r355 and r445 with some of their 1.5 s of wait left. These and r449 sent again four times within 0.3 s, as their callers don't heed Retry-After, each time to the same owner of the key and a full line. Fix: fresh requests of the most important class (depth 0) are refused for the length of the line only if it takes longer than they may wait (the caller's max_wait_s, at most 2 s, never below the 0.8 s of before). The end of their patience and the deadline bound the wait as before. Invested requests keep 0.8 s, as they hold slots of others. In the relay only critical routes change whose wait (half of the objective) is above 0.8 s.

--- a/fescueknot/admission/queue.py
+++ b/fescueknot/admission/queue.py
@@ -19,8 +19,11 @@
 
     The length is bounded by the time that it takes to serve the queue:
     ``max_queue_s``, or ``max_queue_invested_s`` for protected requests, but at
-    least ``min_capacity`` requests. While the service time is unknown,
-    ``unmeasured_capacity`` requests may wait.
+    least ``min_capacity`` requests. Requests of the most important class that
+    hold no slot elsewhere (depth 0) are refused only if the queue takes longer
+    than they may wait, as the time to serve it is an estimate from few
+    requests. While the service time is unknown, ``unmeasured_capacity``
+    requests may wait.
     """
 
     max_queue_s: float = 0.2
@@ -93,10 +96,7 @@
         """
         if start_interval_s == 0:
             return self._settings.unmeasured_capacity
-        max_queue_s = self._settings.max_queue_s
-        if _is_protected(request):
-            max_queue_s = self._settings.max_queue_invested_s
-        by_time = int(max_queue_s / start_interval_s)
+        by_time = int(self._max_queue_s(request) / start_interval_s)
         return max(self._settings.min_capacity, by_time)
 
     def pop_first(self) -> AdmissionRequest:
@@ -149,6 +149,14 @@
             self.discard(request.ticket)
         return expired
 
+    def _max_queue_s(self, request: AdmissionRequest) -> float:
+        if not _is_protected(request):
+            return self._settings.max_queue_s
+        if request.depth > 0:
+            return self._settings.max_queue_invested_s
+        longest_wait_s = min(request.max_wait_s, self._settings.max_wait_s)
+        return max(self._settings.max_queue_invested_s, longest_wait_s)
+
 
 def _is_protected(request: AdmissionRequest) -> bool:
     """Return whether a request may wait longer.
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -47,6 +47,28 @@
     return gate
 
 
+class _MeasuredLimit(FixedLimit):
+    """A constant limit whose service time is set."""
+
+    service_s = 0.4
+
+    def typical_s(self):
+        return self.service_s
+
+
+def _refused_by_a_slow_window(**changes):
+    """Return how many of 8 critical requests a slow window puts out of line."""
+    limit = _MeasuredLimit(limit=4)
+    gate = AdmissionGate(limit=limit)
+    for number in range(4):
+        gate.offer(_request(number), 0)
+    for number in range(4, 12):
+        request = _request(number, Importance.CRITICAL, **changes)
+        assert isinstance(gate.offer(request, 0), Wait)
+    limit.service_s = 1
+    return len(gate.expire(0.05))
+
+
 def _order_served(slots):
     gate = _full_gate(slots)
     for number in range(10, 14):
@@ -97,6 +119,18 @@
         reasons = {decision.reason for decision in (*refused, *excess)}
         assert reasons == {RefusalReason.QUEUE_FULL}
 
+    # Guards against critical requests that are put out of line, with 1.5 s
+    # left to wait, as the last four requests happened to be slow
+    # (tests/traces/entry-opening-surge).
+    @pytest.mark.parametrize(
+        ('changes', 'refused'),
+        [({}, 0), ({'max_wait_s': 1}, 4), ({'depth': 1}, 4)],
+    )
+    def test_critical_requests_are_in_line_as_long_as_they_may_wait(
+        self, changes, refused
+    ):
+        assert _refused_by_a_slow_window(**changes) == refused
+
     def test_deeper_hop_is_served_first(self):
         gate = _full_gate()
         same_root = '5' * 32
