Send nothing on a new connection that has ended already

A target that has no room for more connections accepts and resets them. If the end arrived between the connect and the request, the request was written all the same and its answer counted as lost: a request that must not repeat got 502, and one that may repeat used up an attempt, though nothing had been sent. Idle connections were looked at before their use, new ones were not. They are now, and the call may go to another target.

--- a/fescueknot/httpio/client.py
+++ b/fescueknot/httpio/client.py
@@ -55,6 +55,9 @@
         and :class:`AnswerLostError` if no complete response was received.
         """
         connection = self._pop_idle(max_idle_s) or await self._connect()
+        if not connection.is_open:
+            connection.close()
+            raise NotSentError(f'{self._address} has ended a new connection')
         try:
             response = await connection.exchange(
                 request, accepts or _accept_any
--- a/tests/httpio/test_client.py
+++ b/tests/httpio/test_client.py
@@ -5,6 +5,7 @@
 import pathlib
 import select
 import socket
+import struct
 
 import pytest
 
@@ -23,6 +24,8 @@
 RawServer = _RAW_SERVER.RawServer
 
 _LIMIT_S = 30
+# On, and without any time for unsent bytes.
+_RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 _REQUEST = Request(method='GET', target='/', headers=(('host', 'x'),))
 
 
@@ -44,6 +47,15 @@
     select.select([sock.fileno()], [], [], _LIMIT_S)
 
 
+def _close(served):
+    served.close()
+
+
+def _reset(served):
+    served.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+    served.close()
+
+
 async def _serve_one(listener):
     """Accept a connection and answer its request; return the socket."""
     loop = asyncio.get_running_loop()
@@ -194,6 +206,22 @@
 
         _run(scenario)
 
+    @pytest.mark.parametrize('close', [_close, _reset])
+    def test_one_that_ends_at_once_raises_not_sent(self, monkeypatch, close):
+        # Guards against sending to a server that has no room for connections:
+        # nobody would know whether the request has run.
+        async def scenario(listener):
+            def end(sock, unacknowledged_timeout_s):
+                close(listener.accept()[0])
+                _wait_for_input(sock)
+
+            monkeypatch.setattr(client_module, 'set_tcp_timeouts', end)
+            with pytest.raises(NotSentError):
+                await Client(address=_address_of(listener)).exchange(_REQUEST)
+
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            _run(lambda: scenario(listener))
+
     @pytest.mark.parametrize(
         'address',
         [
