Play delays, cuts, losses and resets between the nodes of the rig

Nodes are now started by a script that replaces their event loop: connections to other hosts start at the node's own address and are delayed there, datagrams where they arrive. Cuts and losses are filters that the kernel runs on the sockets of both sides, so that retransmission, keep-alive and TCP_USER_TIMEOUT act as on a real link; resets disconnect the socket, narrow links pace it. No root, no other program.

Words: node_cut, core_cut (all, near, split, one_way, leader, reset, refuse), lossy, link_squeeze, reset_conns and, for connections that go silent for good, reset_conns silence of the rig's own. A machine that is cut from the store and others is out of touch; one that is cut from others only is not excused, nor is a narrow link between regions.

Tests: lossy and node_cut stood for words that are not played; a word that nobody knows and parts that still are left out take their place. The test of cuts now also asks for the cut between nodes, the one of own plans knows what a cut is played as.

--- a/tests/site_rig/test_plans.py
+++ b/tests/site_rig/test_plans.py
@@ -125,14 +125,18 @@
     @pytest.mark.parametrize(
         ('entry', 'left_out'),
         [
-            (PlanEntry(at=1, kind='lossy'), 'lossy at 1 s'),
+            (PlanEntry(at=1, kind='unheard_of'), 'unheard_of at 1 s'),
             (
                 PlanEntry(at=1.5, kind='node_cut', how='odd'),
                 'node_cut odd at 1.5 s',
             ),
             (
-                PlanEntry(at=1, kind='node_cut'),
-                'node_cut (between nodes) at 1 s',
+                PlanEntry(at=1, kind='core_cut', how='all behind'),
+                'core_cut behind at 1 s',
+            ),
+            (
+                PlanEntry(at=1, kind='link_squeeze'),
+                'link_squeeze (its connections do not share the link) at 1 s',
             ),
             (
                 PlanEntry(at=1, kind='platform_down', how='silent lapse'),
@@ -159,12 +163,16 @@
 
     # Guards against a store that is down for others than it should be.
     @pytest.mark.parametrize(
-        ('kind', 'gates'), [('node_cut', 3), ('core_cut', 1)]
+        ('kind', 'expected'),
+        [
+            ('node_cut', {'store_gate': 3, 'link_cut': 1}),
+            ('core_cut', {'store_gate': 1}),
+        ],
     )
-    def test_cuts(self, kind, gates):
+    def test_cuts(self, kind, expected):
         entry = PlanEntry(at=1, kind=kind, share=0.4)
 
-        assert counts(planned(entry)) == {'store_gate': gates}
+        assert counts(planned(entry)) == expected
 
     # Guards against a host that leaves twice.
     def test_host_that_leaves(self):
--- a/tests/site_rig/test_troubles.py
+++ b/tests/site_rig/test_troubles.py
@@ -24,6 +24,11 @@
 from tools.site_rig.target_troubles import TargetTroubles
 
 DRAWS = 400
+# Words that are played as others: a cut is also one from the store.
+KINDS = {
+    'node_cut': ('link_cut', 'store_gate'),
+    'core_cut': ('link_cut', 'store_gate'),
+}
 
 
 def planned(*entries: PlanEntry):
@@ -46,7 +51,8 @@
         assert [
             left for left in plan.not_played if not left.startswith('shift')
         ] == []
-        assert words == {made.kind for made in plan.disruptions}
+        kinds = {kind for word in words for kind in KINDS.get(word, (word,))}
+        assert kinds == {made.kind for made in plan.disruptions}
         assert length_of(site, name, 32) == 32
 
 
--- a/tools/site_rig/operator_players.py
+++ b/tools/site_rig/operator_players.py
@@ -1,6 +1,7 @@
 """What the operator's process of a run plays, as a table of its players."""
 
 from tools.site_rig.host_player import HostPlayer
+from tools.site_rig.link_player import LinkPlayer
 from tools.site_rig.node_player import ConfigurationPlayer, NodePlayer
 from tools.site_rig.player import Player
 from tools.site_rig.stage import Stage
@@ -11,6 +12,7 @@
     NodePlayer,
     HostPlayer,
     StorePlayer,
+    LinkPlayer,
 )
 
 
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -55,6 +55,18 @@
     PlanEntry(at=12, kind='give_up', for_s=6),
     PlanEntry(at=18, kind='shift', for_s=6),
 )
+_LINKS = (
+    PlanEntry(at=2, kind='reset_conns', share=0.3),
+    PlanEntry(at=4, kind='lossy', for_s=6),
+    PlanEntry(at=7, kind='node_cut', share=0.2, for_s=4),
+    PlanEntry(at=9, kind='reset_conns', how='silence', ratio=0.3),
+    PlanEntry(at=14, kind='core_cut', how='all one_way', for_s=4),
+    PlanEntry(at=17, kind='reset_conns', share=0.5),
+    PlanEntry(at=19, kind='core_cut', how='split', for_s=3),
+    PlanEntry(at=20, kind='node_cut', how='reset', share=0.2, for_s=3),
+    PlanEntry(at=24, kind='core_cut', how='near leader', for_s=4),
+    PlanEntry(at=25, kind='reset_conns', how='silence', ratio=0.5),
+)
 # Plans of the rig's own, by their names.
 OWN_PLANS = MappingProxyType(
     {
@@ -70,6 +82,7 @@
         'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
         'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
         'mixed+clients': (*_MIXED_PLAN, *_PRESSED),
+        'mixed+links': (*_MIXED_PLAN, *_LINKS),
         'mixed+targets+endless': (
             *_MIXED_PLAN,
             *_ODD_TARGETS,
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -91,6 +91,9 @@
     # A burst of requests meets the signal.
     is_busy: bool = False
     idle_limit_s: float = 0
+    # Both ends of the links that a word is about.
+    hosts: tuple[str, ...] = ()
+    others: tuple[str, ...] = ()
 
 
 class Scene(msgspec.Struct, frozen=True, kw_only=True):
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -184,18 +184,13 @@
     cross_zone_ms: float = 0
     cross_region_ms: float = 0
 
-    @property
-    def not_played(self) -> tuple[str, ...]:
-        """Return what of it the rig leaves out: nodes call each other."""
-        delays = {
-            'cross_zone_ms': self.cross_zone_ms,
-            'cross_region_ms': self.cross_region_ms,
-        }
-        return tuple(
-            f'{name} = {delay_ms:g} between nodes'
-            for name, delay_ms in delays.items()
-            if delay_ms
-        )
+    def delay_ms(
+        self, zone: str, region: str, to_zone: str, to_region: str
+    ) -> float:
+        """Return the delay between two machines."""
+        if region != to_region:
+            return self.cross_region_ms
+        return 0 if zone == to_zone else self.cross_zone_ms
 
 
 class Site(msgspec.Struct, frozen=True, kw_only=True):
--- a/tools/site_rig/stage.py
+++ b/tools/site_rig/stage.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from tools.site_rig.configurations import Configurations
+from tools.site_rig.links import Links
 from tools.site_rig.node_process import NodeProcess
 from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import (
@@ -28,6 +29,9 @@
         self.folder = pathlib.Path(scene.folder)
         self.rng = random.Random(scene.seed)  # noqa: S311
         self.gates = StoreGates(rng=self.rng)
+        self.links = Links(
+            net=scene.site.net, hosts=scene.hosts, folder=self.folder
+        )
         self.nodes: dict[str, NodeProcess] = {}
         self._code = code
         self._configurations = Configurations(site=scene.site, rng=self.rng)
@@ -43,6 +47,7 @@
             bounds=self.scene.site.bounds,
         )
         settings.write()
+        self.links.write(host)
         node = NodeProcess(
             host=host,
             settings=settings,
@@ -93,4 +98,5 @@
             node.end()
             node.note_peak()
         self.gates.close()
+        self.links.close()
         self._records.close()
--- a/tools/site_rig/store_gates.py
+++ b/tools/site_rig/store_gates.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import msgspec
 
@@ -21,6 +22,8 @@
 class GateState(msgspec.Struct, kw_only=True):
     """What a gate does to calls; nothing at first.
 
+    A mute one does what it is asked to and answers nothing.
+
     ``lost_share`` of the writes are done, up to ``late_s`` later, and not
     answered. While it is deaf, watches hear nothing; they are cut after it.
     """
@@ -32,6 +35,7 @@
     lost_share: float = 0
     late_s: tuple[float, float] = (0, 0)
     is_deaf: bool = False
+    is_mute: bool = False
 
 
 class StoreGate(Handler):
@@ -41,6 +45,8 @@
         self.state = GateState()
         self._store = store
         self._rng = rng
+        # When the host last wrote something, by the steady clock.
+        self.wrote_s: float = 0
         self._late: set[asyncio.Task[None]] = set()
 
     def limits(self) -> Limits:
@@ -63,8 +69,10 @@
 
     async def _pass_on(self, request: Request, peer: str) -> Response | None:
         answer = await self._store.answer(request, peer)
+        if request.method != _READ:
+            self.wrote_s = time.monotonic()
         # Calls that waited when it fell silent get no answer either.
-        if self.state.is_silent:
+        if self.state.is_silent or self.state.is_mute:
             await asyncio.Event().wait()
         if _WATCH in request.target and self.state.is_deaf:
             await self._hear_again()
@@ -113,6 +121,10 @@
             self._gates[host.ip] = gate
         return self._gates[host.ip]
 
+    def last_writer(self) -> StoreGate:
+        """Return the gate of the host that wrote last."""
+        return max(self._gates.values(), key=lambda gate: gate.wrote_s)
+
     def close(self) -> None:
         """Stop listening."""
         for server in self._servers.values():
--- a/tools/site_rig/store_player.py
+++ b/tools/site_rig/store_player.py
@@ -8,11 +8,12 @@
 from tools.site_rig.player import Player
 from tools.site_rig.scene import Disruption
 from tools.site_rig.stage import Stage
-from tools.site_rig.store_gates import GateState
+from tools.site_rig.store_gates import GateState, StoreGate
 
 # An answer usually takes as long; a slow one takes a multiple of it.
 _USUAL_DELAY_S = 0.004
 _LATE_S = (1.0, 6.0)
+_LEADER = 'leader'
 
 
 class StorePlayer(Player):
@@ -31,8 +32,7 @@
         await self._plays[disruption.kind](disruption)
 
     async def _harm(self, disruption: Disruption) -> None:
-        host = self._stage.scene.host_named(disruption.host)
-        gate = self._stage.gates.gate(host)
+        gate = self._gate(disruption)
         harmed = state_of(disruption)
         gate.state = harmed
         await asyncio.sleep(disruption.for_s)
@@ -40,6 +40,12 @@
         if gate.state is harmed:
             gate.state = GateState()
 
+    def _gate(self, disruption: Disruption) -> StoreGate:
+        if _LEADER in disruption.how.split():
+            return self._stage.gates.last_writer()
+        host = self._stage.scene.host_named(disruption.host)
+        return self._stage.gates.gate(host)
+
     async def _compact(self, disruption: Disruption) -> None:
         store = self._stage.gates.store
         store.stale_s = disruption.ratio
@@ -66,6 +72,7 @@
         'busy': GateState(is_busy=True),
         'reset': GateState(is_resetting=True),
         'deaf': GateState(is_deaf=True),
+        'mute': GateState(is_mute=True),
         'slow': GateState(delay_s=1),
         'lost': GateState(lost_share=1),
     }
--- a/tools/site_rig/store_words.py
+++ b/tools/site_rig/store_words.py
@@ -1,7 +1,7 @@
-"""Words about the store and the ways to it.
+"""Words about the store.
 
 A store that is down, slow or loses answers is so at the gates of the hosts
-that the word is about; a cut closes their gates.
+that the word is about.
 """
 
 from collections.abc import Iterator
@@ -20,7 +20,6 @@
 _STALE_S = 3.0
 # For how many of its machines a store is down that is down for some.
 _SHARE = 0.35
-_CUT_SHARE = 0.1
 _HOWS = ('silent', 'busy', 'reset')
 # Watches hear nothing for as long before the history is dropped.
 _DEAF_S = 1.0
@@ -30,23 +29,23 @@
     how = next((word for word in _HOWS if word in entry.hows), 'silent')
     is_for_some = 'nodes' in entry.hows
     hosts = spread.machines(entry, _SHARE) if is_for_some else spread.hosts
-    yield from _at_gates(spread, entry, hosts, how)
+    yield from at_gates(spread, entry, hosts, how)
 
 
 def _slow(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     ratio = entry.ratio or _SLOW_RATIO
-    yield from _at_gates(spread, entry, spread.hosts, 'slow', ratio)
+    yield from at_gates(spread, entry, spread.hosts, 'slow', ratio)
 
 
 def _lost(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     how = 'lost late' if 'late' in entry.hows else 'lost'
     ratio = entry.ratio or _LOST_SHARE
-    yield from _at_gates(spread, entry, spread.hosts, how, ratio)
+    yield from at_gates(spread, entry, spread.hosts, how, ratio)
 
 
 def _compact(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     gap = msgspec.structs.replace(entry, for_s=_DEAF_S)
-    yield from _at_gates(spread, gap, spread.hosts, 'deaf')
+    yield from at_gates(spread, gap, spread.hosts, 'deaf')
     yield Disruption(at_s=entry.at, kind='config_change', how='timeout')
     yield Disruption(
         at_s=entry.at + _DEAF_S,
@@ -56,19 +55,10 @@
     )
 
 
-def _cut(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
-    hosts = spread.machines(entry, _CUT_SHARE)
-    yield from _at_gates(spread, entry, hosts, 'silent')
-
-
-def _cut_core(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
-    count = entry.count or 1
-    yield from _cut(spread, msgspec.structs.replace(entry, count=count))
-
-
-def _at_gates(
+def at_gates(
     spread: Spread, entry: PlanEntry, hosts, how: str, ratio: float = 0
 ) -> Iterator[Disruption]:
+    """Let something be wrong at the gates of hosts, and what comes with it."""
     for_s = entry.for_s or _USUAL_S
     is_gap = entry.kind == 'platform_compact'
     leaves_s = entry.at if is_gap else None
@@ -84,7 +74,6 @@
         )
 
 
-_BETWEEN_NODES = '(between nodes)'
 STORE_WORDS = MappingProxyType(
     {
         'platform_down': Word(
@@ -93,9 +82,5 @@
         'platform_slow': Word(maker=_slow),
         'platform_lost': Word(maker=_lost, hows=frozenset(('late',))),
         'platform_compact': Word(maker=_compact, hows=COMPANIONS),
-        'node_cut': Word(maker=_cut, hows=COMPANIONS, lacks=_BETWEEN_NODES),
-        'core_cut': Word(
-            maker=_cut_core, hows=COMPANIONS, lacks=_BETWEEN_NODES
-        ),
     }
 )
--- a/tools/site_rig/words.py
+++ b/tools/site_rig/words.py
@@ -8,6 +8,7 @@
 from tools.site_rig.answer_words import ANSWER_WORDS
 from tools.site_rig.client_words import CLIENT_WORDS
 from tools.site_rig.configuration_words import CONFIGURATION_WORDS
+from tools.site_rig.link_words import LINK_WORDS
 from tools.site_rig.node_words import NODE_WORDS
 from tools.site_rig.spread import Word
 from tools.site_rig.store_words import STORE_WORDS
@@ -19,6 +20,7 @@
         **NODE_WORDS,
         **TARGET_WORDS,
         **STORE_WORDS,
+        **LINK_WORDS,
         **ANSWER_WORDS,
         **CLIENT_WORDS,
     }
