--- a/tests/site_rig/test_store_gates.py
+++ b/tests/site_rig/test_store_gates.py
@@ -7,12 +7,15 @@
 
 from fescueknot.httpio.handler import Handler
 from fescueknot.httpio.messages import Limits, Request, Response
+from tests.site_rig.small_site import small_hosts
 from tools.site_rig.scene import Disruption
-from tools.site_rig.store_gates import GateState, StoreGate
+from tools.site_rig.store_gates import GateState, StoreGate, StoreGates
 from tools.site_rig.store_player import state_of
 
+HOSTS = small_hosts()
 READ = Request(method='GET', target='/v1/objects/a', headers=())
 WATCH = Request(method='GET', target='/v1/objects/a?watch=3', headers=())
+REMOVAL = Request(method='DELETE', target='/v1/objects/a/b', headers=())
 WRITE = Request(method='PUT', target='/v1/objects/a/b', headers=())
 
 
@@ -103,6 +106,20 @@
 
         assert not asyncio.run(called())
 
+    # Guards against answers that cross a cut of one direction, or a call that
+    # does not.
+    @pytest.mark.parametrize('call', [READ, WRITE])
+    def test_mute(self, call):
+        async def called() -> tuple[bool, int]:
+            stand = Stand(GateState(is_mute=True))
+            waiting = asyncio.ensure_future(stand.gate.answer(call, ''))
+            await turns()
+            is_answered = waiting.done()
+            waiting.cancel()
+            return is_answered, stand.store.calls
+
+        assert asyncio.run(called()) == (False, 1)
+
     # Guards against watches that hear what the drill hides from them.
     def test_deaf(self):
         async def called() -> list:
@@ -117,6 +134,24 @@
         assert asyncio.run(called()) == [200, False, None]
 
 
+class TestLastWriter:
+    """Which host wrote last."""
+
+    # Guards against a leader that only reads, or wrote before another.
+    def test_last(self):
+        gates = StoreGates(rng=random.Random(1))
+        first, second, third = (gates.gate(host) for host in HOSTS[:3])
+
+        async def called() -> None:
+            for gate in (second, first):
+                await gate.answer(REMOVAL, '')
+            await third.answer(READ, '')
+
+        asyncio.run(called())
+
+        assert gates.last_writer() is first
+
+
 class TestStates:
     """Which state a word of the site file gives a gate."""
 
@@ -128,6 +163,8 @@
             ('busy', 0, GateState(is_busy=True)),
             ('reset', 0, GateState(is_resetting=True)),
             ('deaf', 0, GateState(is_deaf=True)),
+            ('mute', 0, GateState(is_mute=True)),
+            ('mute leader', 0, GateState(is_mute=True)),
             ('slow', 50, GateState(delay_s=0.2)),
             ('lost', 0.3, GateState(lost_share=0.3)),
             ('lost late', 0.3, GateState(lost_share=0.3, late_s=(1, 6))),
--- a/tools/site_rig/store_gates.py
+++ b/tools/site_rig/store_gates.py
@@ -1,8 +1,8 @@
 """The stand-in store, behind a gate of its own for each host."""
 
 import asyncio
+import itertools
 import random
-import time
 
 import msgspec
 
@@ -17,6 +17,7 @@
 _BUSY_STATUSES = (503, 429)
 _WATCH = 'watch='
 _POLL_S = 0.02
+_WRITES = itertools.count(1)
 
 
 class GateState(msgspec.Struct, kw_only=True):
@@ -45,8 +46,8 @@
         self.state = GateState()
         self._store = store
         self._rng = rng
-        # When the host last wrote something, by the steady clock.
-        self.wrote_s: float = 0
+        # Number of its last write among those of all gates.
+        self.last_write = 0
         self._late: set[asyncio.Task[None]] = set()
 
     def limits(self) -> Limits:
@@ -70,7 +71,7 @@
     async def _pass_on(self, request: Request, peer: str) -> Response | None:
         answer = await self._store.answer(request, peer)
         if request.method != _READ:
-            self.wrote_s = time.monotonic()
+            self.last_write = next(_WRITES)
         # Calls that waited when it fell silent get no answer either.
         if self.state.is_silent or self.state.is_mute:
             await asyncio.Event().wait()
@@ -123,7 +124,7 @@
 
     def last_writer(self) -> StoreGate:
         """Return the gate of the host that wrote last."""
-        return max(self._gates.values(), key=lambda gate: gate.wrote_s)
+        return max(self._gates.values(), key=lambda gate: gate.last_write)
 
     def close(self) -> None:
         """Stop listening."""
