--- a/tools/site_rig/store_gates.py
+++ b/tools/site_rig/store_gates.py
@@ -1,6 +1,7 @@
 """The stand-in store, behind a gate of its own for each host."""
 
 import asyncio
+import itertools
 import random
 
 import msgspec
@@ -16,11 +17,14 @@
 _BUSY_STATUSES = (503, 429)
 _WATCH = 'watch='
 _POLL_S = 0.02
+_WRITES = itertools.count(1)
 
 
 class GateState(msgspec.Struct, kw_only=True):
     """What a gate does to calls; nothing at first.
 
+    A mute one does what it is asked to and answers nothing.
+
     ``lost_share`` of the writes are done, up to ``late_s`` later, and not
     answered. While it is deaf, watches hear nothing; they are cut after it.
     """
@@ -32,6 +36,7 @@
     lost_share: float = 0
     late_s: tuple[float, float] = (0, 0)
     is_deaf: bool = False
+    is_mute: bool = False
 
 
 class StoreGate(Handler):
@@ -41,6 +46,8 @@
         self.state = GateState()
         self._store = store
         self._rng = rng
+        # Number of its last write among those of all gates.
+        self.last_write = 0
         self._late: set[asyncio.Task[None]] = set()
 
     def limits(self) -> Limits:
@@ -63,8 +70,10 @@
 
     async def _pass_on(self, request: Request, peer: str) -> Response | None:
         answer = await self._store.answer(request, peer)
+        if request.method != _READ:
+            self.last_write = next(_WRITES)
         # Calls that waited when it fell silent get no answer either.
-        if self.state.is_silent:
+        if self.state.is_silent or self.state.is_mute:
             await asyncio.Event().wait()
         if _WATCH in request.target and self.state.is_deaf:
             await self._hear_again()
@@ -113,6 +122,10 @@
             self._gates[host.ip] = gate
         return self._gates[host.ip]
 
+    def last_writer(self) -> StoreGate:
+        """Return the gate of the host that wrote last."""
+        return max(self._gates.values(), key=lambda gate: gate.last_write)
+
     def close(self) -> None:
         """Stop listening."""
         for server in self._servers.values():
