Refuse nothing behind a request that made memory scarce itself

A small request that took the messages of a node over three quarters of their memory was answered, and a 503 behind it that answered no request closed its connection. A client with a next request on its way took that for its answer. What was received was checked for room once more, for the rest of a request that hadn't begun. It is checked for one that has begun only.

tests/httpio/test_buffer_budget.py: the new test failed before, with two answers to one request. The other 349 tests of tests/httpio and of memory in tests/relay and tests/platform passed.

--- a/fescueknot/httpio/request_reader.py
+++ b/fescueknot/httpio/request_reader.py
@@ -61,9 +61,7 @@
             self._unparsed += received
             return None
         refusal = self._add_requests(self._next_bytes(received), pipeline)
-        if refusal is None and not self._has_room(
-            pipeline, self._parser.held_bytes
-        ):
+        if refusal is None and self._lacks_room_for_rest(pipeline):
             refusal = _NO_ROOM
         if refusal is not None:
             self.discard()
@@ -135,6 +133,16 @@
             pipeline.add(request, keep_alive=keep_alive)
         return refusal
 
+    def _lacks_room_for_rest(self, pipeline: RequestPipeline) -> bool:
+        """Return whether a request that has begun finds no room.
+
+        Without one there is nothing to refuse: those that are complete have
+        found room, though they may have made it scarce.
+        """
+        if not self._parser.has_begun:
+            return False
+        return not self._has_room(pipeline, self._parser.held_bytes)
+
     def _has_room(self, pipeline: RequestPipeline, added_bytes: int) -> bool:
         if self._buffers.is_scarce and not self._share.is_large:
             return False
--- a/tests/httpio/test_buffer_budget.py
+++ b/tests/httpio/test_buffer_budget.py
@@ -353,6 +353,27 @@
 
         assert _run(scenario) == (503, 0)
 
+    def test_one_that_makes_memory_scarce_has_one_answer(self):
+        # Guards against a refusal behind its answer, which the client would
+        # take for the answer to its next request.
+        async def scenario():
+            buffers = BufferBudget(limit_bytes=_FREE_BYTES)
+            handler = _Recorder()
+            handler.release.set()
+            address = await _listening(handler, buffers)
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+            body = bytes(_FREE_BYTES - 500)
+            head = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+            writer.write(head + body)
+            writer.write_eof()
+            received = await reader.read()
+            writer.close()
+            return received.count(b'HTTP/1.1 '), handler.seen
+
+        assert _run(scenario) == (1, 1)
+
 
 class TestSlowServers:
     """Requests that their servers read slowly."""
