Give each head of a request its own time

A client on a slow link that sends requests one behind another got 408 and a closed connection once the time of a head was over since the first of them: each read ended within a head, so the wait for a head seemed never to end. The wait now belongs to one request; the bytes of a head still extend nothing.

tests/httpio/test_late_requests.py: the new test failed before, with 1 of 11 answers and a 408. tests/httpio passed (345).

--- a/fescueknot/httpio/client_waits.py
+++ b/fescueknot/httpio/client_waits.py
@@ -62,16 +62,25 @@
         self._on_read = on_read
         self._timer = Timer()
         self._current = Awaited.NOTHING
+        self._request_number = 0
 
-    def begin(self, awaited: Awaited, transport: asyncio.Transport) -> None:
-        """Begin to wait.
+    def begin(
+        self,
+        awaited: Awaited,
+        transport: asyncio.Transport,
+        request_number: int = 0,
+    ) -> None:
+        """Begin to wait, for a part of the request with a number.
 
         The limit of a head runs from its first byte and is not extended by
         further bytes, so that a slow client cannot occupy a connection.
         """
-        if awaited is Awaited.REQUEST_HEAD and awaited is self._current:
+        is_same = awaited is self._current
+        is_same = is_same and request_number == self._request_number
+        if is_same and awaited is Awaited.REQUEST_HEAD:
             return
         self.stop()
+        self._request_number = request_number
         self._current = awaited
         limit = self._limits.get(awaited)
         if awaited is Awaited.RESPONSE_READ:
--- a/fescueknot/httpio/connection.py
+++ b/fescueknot/httpio/connection.py
@@ -233,7 +233,7 @@
             awaited = Awaited.NOTHING
         elif self._input.is_discarded:
             awaited = Awaited.CLOSE
-        self._waits.begin(awaited, self._transport)
+        self._waits.begin(awaited, self._transport, self._parser.messages_begun)
 
     def _time_limits(self) -> dict[Awaited, TimeLimit]:
         return {
--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -44,7 +44,7 @@
         self._body_parts = 0
         self._received_bytes = 0
         self._empty_bytes = 0
-        self._messages_begun = 0
+        self.messages_begun = 0
 
     @property
     def held_bytes(self) -> int:
@@ -69,7 +69,7 @@
         """Reset the state for a new message."""
         self._clear()
         self._empty_bytes = 0
-        self._messages_begun += 1
+        self.messages_begun += 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header and count its bytes."""
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -118,7 +118,7 @@
     def _feed_piece(self, piece: bytes) -> None:
         complete_before = len(self._complete)
         is_between = not self.has_begun
-        begun_before = self._messages_begun
+        begun_before = self.messages_begun
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
@@ -129,7 +129,7 @@
             self._ignore_upgrade(piece[upgrade.args[0] :])
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
-        elif is_between and self._messages_begun == begun_before:
+        elif is_between and self.messages_begun == begun_before:
             self._check_empty(len(piece))
 
     def _ignore_upgrade(self, rest: bytes) -> None:
--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -56,7 +56,7 @@
     def feed(self, received: bytes) -> list[Response]:
         """Return the complete responses; raise :class:`MalformedError`."""
         was_between = not self._has_begun
-        begun_before = self._messages_begun
+        begun_before = self.messages_begun
         try:
             self._parser.feed_data(received)
         except (
@@ -67,7 +67,7 @@
             raise MalformedError(str(error.__context__ or error)) from error
         if self._has_begun:
             self._check_framing(len(received))
-        elif was_between and self._messages_begun == begun_before:
+        elif was_between and self.messages_begun == begun_before:
             self._check_empty(len(received))
         return self.pop_complete()
 
--- a/tests/httpio/test_late_requests.py
+++ b/tests/httpio/test_late_requests.py
@@ -95,6 +95,26 @@
         written = _written(_LATE_HEAD, b'P', _HEADER_TIMEOUT_S - _JUST_BEFORE_S)
         assert written.startswith(b'HTTP/1.1 408')
 
+    def test_each_head_has_its_own_time(self):
+        # Guards against a 408 for a client on a slow link that sends requests
+        # one behind another, so that each read ends within a head.
+        async def scenario():
+            transport = KernelTransport()
+            connection = ServerConnection(handler=_Handler(), owner=NoOpOwner())
+            connection.connection_made(transport)
+            connection.data_received(_LATE_HEAD)
+            for _ in range(10):
+                await asyncio.sleep(_HEADER_TIMEOUT_S / 2)
+                connection.data_received(b'P/1.1\r\n\r\n' + _LATE_HEAD)
+            connection.data_received(b'P/1.1\r\n\r\n')
+            await asyncio.sleep(_HEADER_TIMEOUT_S)
+            transport.close_sockets()
+            return bytes(transport.written)
+
+        written = run_simulated(scenario)
+        assert written.count(b'HTTP/1.1 200') == 11
+        assert b'HTTP/1.1 408' not in written
+
     def test_a_client_that_half_closes_and_does_not_read_is_cut(self):
         # Guards against a busy loop: the end of input stays readable, and the
         # transport does not close while an answer is left unread.
