Keep trailers apart from the headers of a message

The fields behind a chunked body were added to its headers: a request without a host or an id got those of its trailers, and both were passed on as headers. RFC 9110 (6.5.1) has them kept apart. They are dropped now, still counted.

--- a/fescueknot/httpio/message_parser.py
+++ b/fescueknot/httpio/message_parser.py
@@ -2,7 +2,11 @@
 
 import httptools
 
-from fescueknot.httpio.messages import HEADER_OVERHEAD_BYTES, Body
+from fescueknot.httpio.messages import (
+    HEADER_OVERHEAD_BYTES,
+    Body,
+    Headers,
+)
 
 CHARSET = 'latin-1'
 _HEADER_SEPARATOR_BYTES = 4
@@ -39,6 +43,7 @@
         self._max_head_bytes = max_head_bytes
         self._parser: httptools.HttpParser | None = None
         self._headers: list[tuple[str, str]] = []
+        self._head_count = 0
         self._body = bytearray()
         self._head_bytes = 0
         self._body_parts = 0
@@ -77,6 +82,10 @@
         pair = (name.decode(CHARSET).lower(), value.decode(CHARSET))
         self._headers.append(pair)
 
+    def on_headers_complete(self) -> None:
+        """Take what follows for trailers."""
+        self._head_count = len(self._headers)
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self._body += body
@@ -84,11 +93,20 @@
 
     def _clear(self) -> None:
         self._headers = []
+        self._head_count = 0
         self._body = bytearray()
         self._head_bytes = 0
         self._body_parts = 0
         self._received_bytes = 0
 
+    def _head(self) -> Headers:
+        """Return the headers without trailers.
+
+        A trailer is no header (RFC 9110, 6.5.1): what decides about a message,
+        such as its id, stands in its head.
+        """
+        return tuple(self._headers[: self._head_count])
+
     def _whole_body(self) -> Body:
         """Return the body, to be followed by :meth:`_clear`."""
         if len(self._body) > _MAX_COPIED_BODY_BYTES:
--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -80,6 +80,7 @@
 
     def on_headers_complete(self) -> None:
         """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
+        super().on_headers_complete()
         self.in_body = True
         # Counted for the framing of the body from here on.
         self._received_bytes = 0
@@ -106,7 +107,7 @@
         request = Request(
             method=self._parser.get_method().decode(CHARSET),
             target=self._target.decode(CHARSET),
-            headers=tuple(self._headers),
+            headers=self._head(),
             body=self._whole_body(),
         )
         self._complete.append((request, self._parser.should_keep_alive()))
--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -118,6 +118,7 @@
 
     def on_headers_complete(self) -> None:
         """Find out where the body ends; refuse one that is too long."""
+        super().on_headers_complete()
         headers = dict(self._headers)
         framing_headers = headers.keys() & _FRAMING_HEADERS
         self._reads_until_close = not framing_headers
@@ -152,7 +153,7 @@
         response = Response(
             status=self._parser.get_status_code(),
             reason=self._reason.decode(CHARSET),
-            headers=tuple(self._headers),
+            headers=self._head(),
             body=self._whole_body(),
             closing=closing,
         )
--- a/tests/httpio/test_parsing.py
+++ b/tests/httpio/test_parsing.py
@@ -135,6 +135,29 @@
         assert found[0].headers == (('x-attempt', 'a'), ('content-length', '9'))
 
 
+class TestTrailers:
+    """Fields behind a body."""
+
+    @pytest.mark.parametrize(
+        ('parser', 'start'),
+        [
+            (_parser, b'POST / HTTP/1.1\r\n'),
+            (response_parser.ResponseParser, b'HTTP/1.1 200 OK\r\n'),
+        ],
+        ids=['request', 'response'],
+    )
+    def test_they_are_no_headers(self, parser, start):
+        # Guards against an id or a host that stands behind the body.
+        head = start + b'Transfer-Encoding: chunked\r\nA: b\r\n\r\n'
+        found = parser().feed(head + b'1\r\nx\r\n0\r\nHost: h\r\n\r\n')
+        message = found[0][0] if isinstance(found[0], tuple) else found[0]
+        assert message.body == b'x'
+        assert message.headers == (
+            ('transfer-encoding', 'chunked'),
+            ('a', 'b'),
+        )
+
+
 class TestPipelining:
     """Limits on requests of which several are received at once."""
 
