Close the listening socket at a stop without a descriptor left too

A process that had used up its descriptors when it stopped went on listening: the connections that wait are accepted by a duplicate of the socket, which failed, and the socket was not closed. The kernel accepted connections until the process ended and then reset them. The socket is closed in any case now.

tests/httpio/test_unread_requests.py: the new test failed before. With test_server.py and tests/relay/test_end_of_process.py: 54 passed.

--- a/fescueknot/httpio/listener.py
+++ b/fescueknot/httpio/listener.py
@@ -83,8 +83,17 @@
 
 
 def _accepted(listening: TransportSocket) -> Iterator[socket.socket]:
-    """Accept the connections that wait; at most as many as can wait."""
-    with listening.dup() as duplicate:
+    """Accept the connections that wait; at most as many as can wait.
+
+    None if the process has no descriptor left: the socket is to be closed then
+    too.
+    """
+    try:
+        duplicate = listening.dup()
+    except OSError as error:
+        _LOG.warning('httpio: cannot accept the last connections: %r', error)
+        return
+    with duplicate:
         duplicate.setblocking(False)
         for _ in range(_BACKLOG):
             try:
--- a/tests/httpio/test_unread_requests.py
+++ b/tests/httpio/test_unread_requests.py
@@ -1,9 +1,11 @@
 """Requests that lie in the kernel when a connection is to be closed."""
 
 import asyncio
+import errno
 import select
 import socket
 import struct
+from asyncio.trsock import TransportSocket
 
 import pytest
 
@@ -145,6 +147,20 @@
 
         assert not _run(scenario)
 
+    def test_it_is_closed_without_a_descriptor_left(self, monkeypatch):
+        # Guards against a process that listens until its end, for connections
+        # that nobody will read.
+        def fail(sock):
+            raise OSError(errno.EMFILE, 'Too many open files')
+
+        async def scenario(served):
+            monkeypatch.setattr(TransportSocket, 'dup', fail)
+            served.server.stop_listening()
+            await asyncio.sleep(0)
+            return served.server._listener.sockets
+
+        assert not _run(scenario)
+
     def test_listening_ends_though_connections_keep_coming(self):
         # Guards against a listening socket that stays open until the kill, as
         # each look finds another connection to accept.
