Build target selectors and entries of the relay's tests in one place

Five modules built a TargetSelector with the same arguments, three an entry with the same fields. They now call tests/relay/selectors and make_entry. No test is changed.

--- a/tests/relay/caller_handlers.py
+++ b/tests/relay/caller_handlers.py
@@ -15,19 +15,17 @@
     RefusedFor,
     Reply,
 )
-from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
-from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
 from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
-from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from tests.relay.fakes import (
     RecordingObserver,
     make_suspects,
     target_documents,
 )
+from tests.relay.selectors import make_reachability, make_selector
 
 HERE = Place(region='sierra', failure_domain='sierra-a')
 HEADER_NAMES = HeaderNames()
@@ -86,17 +84,15 @@
     }
     route = Route(**{**fields, **changes})
     routes.offer(Configuration(version=1, routes=(route,)))
-    selector = TargetSelector(
-        departures=DepartureBook(),
+    selector = make_selector(
+        name='me',
+        place=HERE,
         directory=make_directory(targets),
         routes=routes,
-        viewpoint=viewpoint_of(name='me', place=HERE),
         retry_budget=SharedBudgetSettings(
             initial_tokens=tokens, max_tokens=5, slack=100
         ),
-        reachability=Reachability(
-            probe=lambda node: None, on_change=lambda node, reachable: None
-        ),
+        reachability=make_reachability(lambda node: None),
         rng=rng,
     )
     selector.refresh({'entries'}, 0)
--- a/tests/relay/fakes.py
+++ b/tests/relay/fakes.py
@@ -102,20 +102,25 @@
     return Heartbeat(**{**fields, **changes})
 
 
+def make_entry(instance, place, node, **changes):
+    """Return the entry of a target; its node gossips at its own port."""
+    fields = {
+        'started_ms': 1,
+        'service': 'entries',
+        'slots': 6,
+        'gossip_port': node.port,
+    }
+    return TargetEntry(
+        instance=instance, place=place, node=node, **{**fields, **changes}
+    )
+
+
 def target_documents(place, *ports):
     """Return the store's documents of targets ``i-PORT`` at ``ports``."""
     return tuple(
         target_document(
             f'n{port}',
-            TargetEntry(
-                instance=f'i-{port}',
-                started_ms=1,
-                service='entries',
-                place=place,
-                node=Address(host='10.0.0.1', port=port),
-                slots=6,
-                gossip_port=port,
-            ),
+            make_entry(f'i-{port}', place, Address(host='10.0.0.1', port=port)),
         )
         for port in ports
     )
--- a/tests/relay/simulated_fleet.py
+++ b/tests/relay/simulated_fleet.py
@@ -25,13 +25,9 @@
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
 from fescueknot.relay.peers import PeerHandler, PeerNodes
 from fescueknot.relay.quarantine_archive import QuarantineArchive
-from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.runs import LocalRuns
-from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
-from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
 from fescueknot.routes.messages import Configuration, Route, WeightedService
-from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from fescueknot.targets.local_target import LeavingBounds, LocalTarget
 from fescueknot.targets.messages import Heartbeat, TargetEntry
@@ -44,6 +40,7 @@
     target_document,
     target_documents,
 )
+from tests.relay.selectors import make_reachability, make_selector
 
 SERVICE = 'entries'
 _SLOTS = 6
@@ -234,15 +231,12 @@
         )
         peers = _InMemoryPeers(fleet=fleet, observer=self.observer)
         self._directory = directory
-        selector = TargetSelector(
-            departures=DepartureBook(),
+        selector = make_selector(
+            name=f'n{self.port}',
+            place=HERE,
             directory=directory,
             routes=routes,
-            viewpoint=viewpoint_of(name=f'n{self.port}', place=HERE),
-            retry_budget=SharedBudgetSettings(),
-            reachability=Reachability(
-                probe=peers.probe, on_change=lambda node, reachable: None
-            ),
+            reachability=make_reachability(peers.probe),
             rng=rng,
         )
         self._selector = selector
--- a/tests/relay/simulated_sync.py
+++ b/tests/relay/simulated_sync.py
@@ -20,16 +20,12 @@
 from fescueknot.relay.gossip_port import DatagramPort, decode
 from fescueknot.relay.metrics import NodeMetrics
 from fescueknot.relay.peers import PeerHandler, PeerNodes
-from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.settings import Bounds, Ports, RelaySettings
-from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
-from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
-from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
-from fescueknot.targets.messages import TargetEntry
 from fescueknot.targets.publisher import TARGETS_KIND
-from tests.relay.fakes import RecordingObserver, make_exchange
+from tests.relay.fakes import RecordingObserver, make_entry, make_exchange
+from tests.relay.selectors import make_reachability, make_selector
 from tools.standin.platform_store import PlatformStoreStandin
 
 PEER_PORT = 1
@@ -148,13 +144,10 @@
 
     @property
     def entry(self):
-        return TargetEntry(
-            instance=f'i-{self.name}',
-            started_ms=1,
-            service='entries',
-            place=self.place,
-            node=Address(host=self.address.host, port=PEER_PORT),
-            slots=6,
+        return make_entry(
+            f'i-{self.name}',
+            self.place,
+            Address(host=self.address.host, port=PEER_PORT),
             gossip_port=GOSSIP_PORT,
         )
 
@@ -261,15 +254,12 @@
         )
 
     def _selector(self):
-        return TargetSelector(
-            departures=DepartureBook(),
+        return make_selector(
+            name=self.name,
+            place=self.place,
             directory=self.directory,
             routes=self.routes,
-            viewpoint=viewpoint_of(name=self.name, place=self.place),
-            retry_budget=SharedBudgetSettings(),
-            reachability=Reachability(
-                probe=self.peers.probe, on_change=lambda node, reachable: None
-            ),
+            reachability=make_reachability(self.peers.probe),
             rng=self.rng,
         )
 
--- a/tests/relay/test_fleet_sync.py
+++ b/tests/relay/test_fleet_sync.py
@@ -14,19 +14,16 @@
 from fescueknot.relay.gossip_port import GossipPort
 from fescueknot.relay.metrics import NodeMetrics
 from fescueknot.relay.peers import PeerHandler, PeerNodes
-from fescueknot.relay.reachability import Reachability
 from fescueknot.relay.settings import Bounds, Ports, RelaySettings
-from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
-from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
-from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
-from fescueknot.targets.messages import TargetEntry
 from tests.relay.fakes import (
     RecordingObserver,
     ServingGate,
+    make_entry,
     make_exchange,
 )
+from tests.relay.selectors import make_reachability, make_selector
 from tools.standin.platform_store import PlatformStoreStandin
 
 _ADAPTER = PlatformAdapter()
@@ -117,15 +114,7 @@
         ]
         self.fleet_sync.publisher.set_observed(None)
         self.fleet_sync.publisher.set_desired(
-            TargetEntry(
-                instance=f'i-{self.name}',
-                started_ms=1,
-                service='entries',
-                place=self.place,
-                node=self.address,
-                slots=6,
-                gossip_port=self.address.port,
-            )
+            make_entry(f'i-{self.name}', self.place, self.address)
         )
 
     async def stop(self):
@@ -139,15 +128,12 @@
         return self.metrics._counts['store.call', reason]
 
     def _selector(self):
-        return TargetSelector(
-            departures=DepartureBook(),
+        return make_selector(
+            name=self.name,
+            place=self.place,
             directory=self.directory,
             routes=self.routes,
-            viewpoint=viewpoint_of(name=self.name, place=self.place),
-            retry_budget=SharedBudgetSettings(),
-            reachability=Reachability(
-                probe=self.peers.probe, on_change=lambda node, reachable: None
-            ),
+            reachability=make_reachability(self.peers.probe),
             rng=self.rng,
         )
 
--- a/tests/relay/test_target_selector.py
+++ b/tests/relay/test_target_selector.py
@@ -5,12 +5,10 @@
 from fescueknot.randomness import seeded
 from fescueknot.relay.messages import AnswerHead, Ending, RefusedFor, Reply
 from fescueknot.relay.runs import Lineage
-from fescueknot.relay.target_selector import TargetSelector, viewpoint_of
-from fescueknot.retries.shared_budget import SharedBudgetSettings
 from fescueknot.routes.in_force import RoutesInForce
-from fescueknot.targets.departures import DepartureBook
 from fescueknot.targets.directory import TargetDirectory
 from tests.relay.fakes import target_document, target_documents
+from tests.relay.selectors import make_selector
 
 _PLACE = Place(region='sierra', failure_domain='sierra-a')
 _LINEAGE = Lineage(root='r', importance=Importance.NORMAL)
@@ -39,12 +37,11 @@
     directory = TargetDirectory()
     reachability = _FakeReachability()
     rng = seeded(seed=1)
-    selector = TargetSelector(
-        departures=DepartureBook(),
+    selector = make_selector(
+        name='me',
+        place=_PLACE,
         directory=directory,
         routes=RoutesInForce(rng=rng),
-        viewpoint=viewpoint_of(name='me', place=_PLACE),
-        retry_budget=SharedBudgetSettings(),
         reachability=reachability,
         rng=rng,
     )
