Name the exchange of all replicas that two tests share

tests/gossip/test_replica.py held the same rounds of requests and the same expected state twice. Assertions are as before.

--- a/tests/gossip/test_replica.py
+++ b/tests/gossip/test_replica.py
@@ -149,6 +149,19 @@
         while self.in_flight:
             self.deliver(0)
 
+    def exchange_all(self):
+        """Let each replica ask its neighbour and the first, three times."""
+        count = len(self.replicas)
+        for _ in range(3):
+            for index in range(count):
+                self.request(index, (index + 1) % count)
+                self.request(index, 0)
+                self.deliver_all()
+
+    def stored_revisions(self):
+        """Return the revisions of what exists in the store."""
+        return {key: document.revision for key, document in self.store.items()}
+
 
 _NODE_COUNT = 4
 _INDEX = st.integers(0, _NODE_COUNT - 1)
@@ -204,14 +217,8 @@
         for _ in _run(network, steps):
             """Run all steps."""
         network.read_store(0)
-        for _ in range(3):
-            for index in range(_NODE_COUNT):
-                network.request(index, (index + 1) % _NODE_COUNT)
-                network.request(index, 0)
-                network.deliver_all()
-        expected = {
-            key: document.revision for key, document in network.store.items()
-        }
+        network.exchange_all()
+        expected = network.stored_revisions()
         assert all(
             network.live_at(index) == expected for index in range(_NODE_COUNT)
         )
@@ -315,14 +322,8 @@
         for _ in _run(network, steps):
             """Run all steps."""
         network.read_store(0)
-        for _ in range(3):
-            for index in range(_NODE_COUNT):
-                network.request(index, (index + 1) % _NODE_COUNT)
-                network.request(index, 0)
-                network.deliver_all()
-        expected = {
-            key: document.revision for key, document in network.store.items()
-        }
+        network.exchange_all()
+        expected = network.stored_revisions()
         assert all(
             network.revisions_at(index) == expected
             for index in range(_NODE_COUNT)
