--- a/tests/relay/test_graceful_stop.py
+++ b/tests/relay/test_graceful_stop.py
@@ -264,37 +264,30 @@
         assert _GRACE_S * 5 / 6 <= ended_s < _GRACE_S
 
 
+async def _server_of_busy_node():
+    """Return the server of a node that stopped with a request in progress."""
+    node = _StoppingNode(ANSWERED)
+    node.server.requests_in_progress = 1
+    await node.stop
+    return node.server
+
+
 class TestListening:
     """When a node that stops accepts no connections any more."""
 
     def test_it_ends_when_nothing_more_is_taken(self):
         # Guards against connections that the kernel accepts for a process
         # which has no time left to read them, as it waits for a processor.
-        async def scenario():
-            node = _StoppingNode(ANSWERED)
-            node.server.requests_in_progress = 1
-            await node.stop
-            return node.server.stopped_at_s
-
-        assert run_simulated(scenario) <= _INTAKE_ENDS_S
+        server = run_simulated(_server_of_busy_node)
+        assert server.stopped_at_s <= _INTAKE_ENDS_S
 
     def test_connections_that_become_idle_later_are_closed(self):
-        async def scenario():
-            node = _StoppingNode(ANSWERED)
-            node.server.requests_in_progress = 1
-            await node.stop
-            return node.server.last_stopped_at_s
-
-        assert run_simulated(scenario) > _INTAKE_ENDS_S
+        server = run_simulated(_server_of_busy_node)
+        assert server.last_stopped_at_s > _INTAKE_ENDS_S
 
     def test_calls_of_the_target_are_taken_before(self):
-        async def scenario():
-            node = _StoppingNode(ANSWERED)
-            node.server.requests_in_progress = 1
-            await node.stop
-            return node.server.stopped_at_s
-
-        assert run_simulated(scenario) > _CALLERS_LEFT_S
+        server = run_simulated(_server_of_busy_node)
+        assert server.stopped_at_s > _CALLERS_LEFT_S
 
 
 @pytest.mark.parametrize(
