--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -1,6 +1,7 @@
 """A target: slots, work, calls of its runs and the records of them."""
 
 import asyncio
+import itertools
 import random
 import time
 
@@ -67,6 +68,7 @@
         self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
+        self._call_numbers = itertools.count()
         self._caller = Caller(host=host, records=records, rng=rng)
 
     async def answer(self, arrival: Arrival) -> Reply:
@@ -128,7 +130,7 @@
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
-        attempts = [f'{run.attempt}.{number}' for number in range(rule.times)]
+        attempts = [self._call_id(run) for _ in range(rule.times)]
         if rule.together:
             calls = [self._send(run, kind, attempt) for attempt in attempts]
             return all(await asyncio.gather(*calls))
@@ -137,6 +139,10 @@
                 return False
         return True
 
+    def _call_id(self, run: Run) -> str:
+        """Return an id that no other call has, also of another run of it."""
+        return f'{run.attempt}.{self.instance}-{next(self._call_numbers)}'
+
     async def _send(self, run: Run, kind: RequestClass, attempt: str) -> bool:
         left_ms = min(run.left_s * _MS_PER_S, kind.deadline_ms)
         exchange = await self._caller.send(
