--- a/tests/site_rig/test_links.py
+++ b/tests/site_rig/test_links.py
@@ -50,6 +50,18 @@
 
         assert links.page(FIRST).delays_s == {neighbour.ip: 0}
 
+    # Guards against delays that are left out without a word, or said to be.
+    def test_left_out(self):
+        net = Net(
+            in_zone_ms=0.2, cross_zone_ms=0.5, cross_region_ms=20, client_ms=3
+        )
+
+        assert net.not_played == (
+            'in_zone_ms between nodes (0.2)',
+            'cross_region_ms to the store (20)',
+        )
+        assert not Net().not_played
+
 
 class TestHarms:
     """What is wrong with links."""
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -181,8 +181,24 @@
     """Delays of links, one way."""
 
     client_ms: float = 0
+    in_zone_ms: float = 0
     cross_zone_ms: float = 0
     cross_region_ms: float = 0
+    region_mbps: float = 0
+
+    @property
+    def not_played(self) -> tuple[str, ...]:
+        """Return what of it the rig leaves out."""
+        left_out = {
+            'in_zone_ms between nodes': self.in_zone_ms,
+            'cross_region_ms to the store': self.cross_region_ms,
+            'region_mbps': self.region_mbps,
+        }
+        return tuple(
+            f'{name} ({figure:g})'
+            for name, figure in left_out.items()
+            if figure
+        )
 
     def delay_ms(
         self, zone: str, region: str, to_zone: str, to_region: str
