Start nodes in the rig as a module, and hook their links by themselves

The part that steps in after the import of asyncio is a module of its own, so that another part of a machine, as its clock, can be followed beside it.

--- a/tests/site_rig/test_node_launcher.py
+++ b/tests/site_rig/test_node_launcher.py
@@ -1,21 +1,22 @@
 """The script that runs a node's program with links."""
 
 import json
-import os
 import pathlib
 import subprocess
 import sys
 
 import pytest
 
-from tools.site_rig import node_process
-from tools.site_rig.link_pages import PAGE_VARIABLE, LinkPage, write_page
+from tools.site_rig.link_hook import follow_links
+from tools.site_rig.link_pages import LinkPage, write_page
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
 
 # Stands for an older state of the code, which has no such tools.
 PROGRAM = """
 import sys
-before = sorted({'asyncio', 'msgspec', 'tools'} & set(sys.modules))
-import json, signal
+before = sorted({'asyncio', 'msgspec', 'ctypes'} & set(sys.modules))
+import json, os, signal
 hup = signal.getsignal(signal.SIGHUP) is signal.SIG_DFL
 import asyncio
 async def run():
@@ -26,7 +27,8 @@
     'name': __name__,
     'path': sys.path[0],
     'loop': asyncio.run(run()),
-    'rest': [each for each in sys.path if 'site_rig' in each],
+    'cwd': os.getcwd(),
+    'arguments': sys.argv[1:],
 }))
 """
 
@@ -39,9 +41,14 @@
     (tmp_path / 'tools.py').write_text('', 'utf-8')
     write_page(tmp_path / 'page', LinkPage(ip='127.9.4.1'))
     process = subprocess.run(
-        [sys.executable, node_process.LAUNCHER],
-        cwd=tmp_path,
-        env={**os.environ, PAGE_VARIABLE: str(tmp_path / 'page')},
+        [
+            sys.executable,
+            '-m',
+            'tools.site_rig.node_launcher',
+            str(tmp_path),
+            str(tmp_path / 'page'),
+        ],
+        cwd=ROOT,
         capture_output=True,
         check=True,
     )
@@ -60,8 +67,20 @@
     def test_program(self, said):
         assert said['name'] == '__main__'
         assert pathlib.Path(said['path']) == said['folder']
-        assert said['rest'] == []
+        assert pathlib.Path(said['cwd']) == said['folder']
+        assert said['arguments'] == []
 
     # Guards against nodes without links.
     def test_loop(self, said):
         assert said['loop'] == 'LinkLoop'
+
+    # Guards against nodes without links where asyncio is there already.
+    def test_asyncio_is_there(self, tmp_path, monkeypatch):
+        installed: list[str] = []
+        monkeypatch.setattr(
+            'tools.site_rig.link_loop.install', installed.append
+        )
+
+        follow_links(str(tmp_path / 'page'))
+
+        assert installed == [str(tmp_path / 'page')]
--- a/tools/site_rig/link_pages.py
+++ b/tools/site_rig/link_pages.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-# The environment variable that names the file.
-PAGE_VARIABLE = 'SITE_RIG_LINKS'
 # A datagram to this port of a host says that its file has changed.
 POKE_PORT = 8398
 
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -8,15 +8,15 @@
 import sys
 import time
 
-from tools.site_rig.link_pages import PAGE_VARIABLE
 from tools.site_rig.memory_watch import MemoryWatch, limit_descriptors
 from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import Host
 
-LAUNCHER = pathlib.Path(__file__).with_name('node_launcher.py')
 _POLL_S = 0.02
 _RESTART_S = 0.5
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_LAUNCHER = 'tools.site_rig.node_launcher'
 
 
 class NodeProcess:
@@ -44,14 +44,17 @@
         """Start the process."""
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(LAUNCHER)],
-                cwd=self._code,
+                [
+                    sys.executable,
+                    '-m',
+                    _LAUNCHER,
+                    str(self._code),
+                    str(self._settings.path.with_suffix('.links')),
+                ],
+                cwd=_ROOT,
                 env={
                     **os.environ,
                     'FESCUEKNOT_CONFIG': str(self._settings.path),
-                    PAGE_VARIABLE: str(
-                        self._settings.path.with_suffix('.links')
-                    ),
                 },
                 stdout=log,
                 stderr=subprocess.STDOUT,
