Count cuts between machines as disruption beside planned work

The rule asks that there be no unplanned disruption beside planned work; such a cut is one, for the machines of both sides. At any time it still excuses nothing, as the machines reach the store, unless it resets connections: then they are out of touch. The same holds for narrow links between regions.

--- a/tests/site_rig/test_rule_lost.py
+++ b/tests/site_rig/test_rule_lost.py
@@ -381,6 +381,30 @@
 
         assert (found.occasion, found.excuse) == (occasion, excuse)
 
+    # Guards against blaming a node beside planned work for a cut that leaves
+    # its machine in touch, and against excusing what counts at any time.
+    @pytest.mark.parametrize(
+        ('name', 'occasion', 'excuse'),
+        [
+            ('SIGTERM', Occasion.TERM, Excuse.DISRUPTED),
+            ('SIGHUP', Occasion.ANY_TIME, Excuse.NONE),
+            ('configuration', Occasion.ANY_TIME, Excuse.NONE),
+        ],
+    )
+    def test_left_in_touch(self, name, occasion, excuse):
+        seen = trouble(1.5, 1.6, is_in_touch=True)
+        found = judge(with_troubles(PLANNED[name], seen), LIMITS)
+
+        assert (found.occasion, found.excuse) == (occasion, excuse)
+
+    # Guards against one that is in touch hiding one that is not.
+    def test_both_kinds(self):
+        seen = trouble(50.4, 50.6, is_in_touch=True)
+
+        found = judge(with_troubles(AWAY, seen, trouble(50.4, 50.6)), LIMITS)
+
+        assert not found.counts
+
     # Guards against an excuse that is broader than the words of the rule.
     @pytest.mark.parametrize('name', PLANNED)
     @pytest.mark.parametrize(
@@ -414,6 +438,7 @@
             (AWAY, trouble(50.5, 50.6, host='other'), True),
             (AWAY, trouble(50.5, 50.6, is_of_target=True), True),
             (AWAY, trouble(50.5, 50.6, host='t', is_of_target=True), False),
+            (AWAY, trouble(50.5, 50.6, is_in_touch=True), True),
             (LONG_AWAY, trouble(47, 47.1), False),
             (LONG_AWAY, trouble(58, 58.1), False),
             # In touch when it passes on and when it closes.
--- a/tools/site_rig/cases.py
+++ b/tools/site_rig/cases.py
@@ -77,10 +77,12 @@
 
     def is_disrupted(self, from_s: float, until_s: float) -> bool:
         """Tell whether an unplanned disruption touches a span."""
-        return any(
-            trouble.from_s <= until_s and trouble.until_s >= from_s
-            for trouble in self.troubles
-        )
+        return bool(self._troubles_in(from_s, until_s))
+
+    def is_out_of_touch(self, from_s: float, until_s: float) -> bool:
+        """Tell whether one does that takes a machine out of touch."""
+        troubles = self._troubles_in(from_s, until_s)
+        return not all(trouble.is_in_touch for trouble in troubles)
 
     def times(self, kind: SignalKind) -> list[float]:
         """Return when the node got signals of a kind."""
@@ -97,6 +99,15 @@
         """Tell whether a target still worked on it at that time."""
         return any(run.began_s and run.ended_s >= at_s for run in self.runs)
 
+    def _troubles_in(
+        self, from_s: float, until_s: float
+    ) -> list[TroubleRecord]:
+        return [
+            trouble
+            for trouble in self.troubles
+            if trouble.from_s <= until_s and trouble.until_s >= from_s
+        ]
+
 
 class Finding(msgspec.Struct, frozen=True, kw_only=True):
     """What the rule says of a request."""
--- a/tools/site_rig/link_player.py
+++ b/tools/site_rig/link_player.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import msgspec
 
@@ -29,7 +29,7 @@
         self.kinds = frozenset(self._plays)
 
     async def play(self, disruption: Disruption) -> None:
-        """Play one disruption, which is trouble of its excused hosts."""
+        """Play one disruption, which is trouble of its machines."""
         with self._troubled(disruption):
             await self._plays[disruption.kind](disruption)
 
@@ -54,7 +54,7 @@
     @contextlib.contextmanager
     def _troubled(self, disruption: Disruption) -> Iterator[None]:
         with contextlib.ExitStack() as stack:
-            for name in excused_hosts(disruption):
+            for name in troubled_hosts(disruption):
                 of_host = msgspec.structs.replace(disruption, host=name)
                 stack.enter_context(self._stage.trouble(of_host))
             yield
@@ -83,12 +83,11 @@
     return bool(_REFUSING & set(disruption.how.split()))
 
 
-def excused_hosts(disruption: Disruption) -> Iterable[str]:
-    """Return the machines that are out of touch meanwhile.
+def troubled_hosts(disruption: Disruption) -> tuple[str, ...]:
+    """Return the machines whose links are disrupted, for the rules.
 
-    A link that is cut excuses nothing while the machine reaches the store, nor
-    does a narrow link between regions.
+    Machines at the other end are not, unless it is about both ends alike.
     """
-    hows = disruption.how.split()
-    is_in_touch = 'in_touch' in hows or 'regions' in hows
-    return () if is_in_touch else disruption.hosts
+    is_mutual = 'mutual' in disruption.how.split()
+    others = disruption.others if is_mutual else ()
+    return (*disruption.hosts, *others)
--- a/tools/site_rig/link_words.py
+++ b/tools/site_rig/link_words.py
@@ -27,6 +27,7 @@
 _ONE_WAY = 'one_way'
 _LEADER = 'leader'
 _SPLIT = 'split'
+_MUTUAL_IN_TOUCH = 'mutual in_touch'
 # What a cut does to what crosses it; silence is usual.
 _CUT_HOWS = frozenset((_ONE_WAY, 'reset', 'refuse'))
 # The same at the gates of the store.
@@ -86,13 +87,18 @@
 
 
 def _split(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
-    """Cut half of the machines from the others; all reach the store."""
+    """Cut half of the machines from the others; all reach the store.
+
+    So they are in touch, unless their connections are reset.
+    """
     hosts = spread.there(entry.at)
     half = spread.rng.sample(hosts, len(hosts) // 2)
     rest = [host for host in hosts if host not in half]
     ends_s = entry.at + (entry.for_s or _USUAL_S)
     yield from companions(spread, entry, ends_s)
-    yield from _cut(entry, half, rest, 'in_touch')
+    is_reset = bool({'reset', 'refuse'} & entry.hows)
+    how = 'mutual' if is_reset else _MUTUAL_IN_TOUCH
+    yield from _cut(entry, half, rest, how)
 
 
 def _lose(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
@@ -143,7 +149,7 @@
     return Disruption(
         at_s=entry.at,
         kind='link_squeeze',
-        how=entry.how,
+        how=_MUTUAL_IN_TOUCH if 'regions' in entry.hows else '',
         hosts=_names(hosts),
         others=_names(others),
         ratio=(entry.ratio or usual_mbps) / parts,
--- a/tools/site_rig/records.py
+++ b/tools/site_rig/records.py
@@ -128,13 +128,18 @@
 class TroubleRecord(
     msgspec.Struct, frozen=True, kw_only=True, tag='trouble', omit_defaults=True
 ):
-    """An unplanned disruption of a machine, or of its target alone."""
+    """An unplanned disruption of a machine, or of its target alone.
+
+    One that leaves the machine in touch excuses something beside planned work
+    only.
+    """
 
     host: str
     kind: str
     from_s: float
     until_s: float
     is_of_target: bool = False
+    is_in_touch: bool = False
 
 
 Record = (
--- a/tools/site_rig/rule_lost.py
+++ b/tools/site_rig/rule_lost.py
@@ -101,7 +101,7 @@
         signal.kind in _NOT_LEFT_ALONE and from_s <= signal.at_s <= at_s
         for signal in case.signals
     )
-    return not is_signalled and not case.is_disrupted(from_s, at_s)
+    return not is_signalled and not case.is_out_of_touch(from_s, at_s)
 
 
 def _used_most(case: Case, limits: Limits) -> bool:
--- a/tools/site_rig/stage.py
+++ b/tools/site_rig/stage.py
@@ -87,6 +87,7 @@
                     kind=disruption.kind,
                     from_s=from_s,
                     until_s=time.monotonic(),
+                    is_in_touch='in_touch' in disruption.how.split(),
                 )
             )
 
