--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -1,8 +1,8 @@
 """A target: slots, work, calls of its runs and the records of them."""
 
 import asyncio
+import itertools
 import random
-import secrets
 import time
 
 import msgspec
@@ -19,7 +19,6 @@
 from tools.site_rig.target_troubles import TargetTroubles
 
 _MS_PER_S = 1000
-_RUN_ID_BYTES = 4
 _PARTS_OF_WORK = 2
 _FULL = 503
 _WRONG_TARGET = 421
@@ -69,6 +68,7 @@
         self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
+        self._call_numbers = itertools.count()
         self._caller = Caller(host=host, records=records, rng=rng)
 
     async def answer(self, arrival: Arrival) -> Reply:
@@ -130,8 +130,7 @@
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
-        prefix = f'{run.attempt}.{secrets.token_hex(_RUN_ID_BYTES)}'
-        attempts = [f'{prefix}.{number}' for number in range(rule.times)]
+        attempts = [self._call_id(run) for _ in range(rule.times)]
         if rule.together:
             calls = [self._send(run, kind, attempt) for attempt in attempts]
             return all(await asyncio.gather(*calls))
@@ -140,6 +139,10 @@
                 return False
         return True
 
+    def _call_id(self, run: Run) -> str:
+        """Return an id that no other call has, also of another run of it."""
+        return f'{run.attempt}.{self.instance}-{next(self._call_numbers)}'
+
     async def _send(self, run: Run, kind: RequestClass, attempt: str) -> bool:
         left_ms = min(run.left_s * _MS_PER_S, kind.deadline_ms)
         exchange = await self._caller.send(
