Let the rig step the clocks of machines

Cause: clock_step was left out, as a node read the machine's clock. Change: nodes start through a launcher that reads a machine's time of day with an offset from a file, which stays across restarts; clock_step moves it and moves it back. Each jump is a disruption, not the time between them. Without the offset, the way back or the sum of two jumps, three tests of tests/site_rig/test_clocks.py fail (seen).

--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -12,9 +12,12 @@
 from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import Host
+from tools.site_rig.wall_clock import ClockFile
 
 _POLL_S = 0.02
 _RESTART_S = 0.5
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_LAUNCHER = 'tools.site_rig.node_launcher'
 
 
 class NodeProcess:
@@ -29,6 +32,7 @@
         records: RecordFile,
     ) -> None:
         self.host = host
+        self.clock = ClockFile(path=settings.path.with_suffix('.clock'))
         self._settings = settings
         self._log = settings.path.with_suffix('.log')
         self._code = code
@@ -42,8 +46,14 @@
         """Start the process."""
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'fescueknot.platform.main'],
-                cwd=self._code,
+                [
+                    sys.executable,
+                    '-m',
+                    _LAUNCHER,
+                    str(self._code),
+                    str(self.clock.path),
+                ],
+                cwd=_ROOT,
                 env={
                     **os.environ,
                     'FESCUEKNOT_CONFIG': str(self._settings.path),
--- a/tools/site_rig/operator_players.py
+++ b/tools/site_rig/operator_players.py
@@ -1,5 +1,6 @@
 """What the operator's process of a run plays, as a table of its players."""
 
+from tools.site_rig.clock_player import ClockPlayer
 from tools.site_rig.host_player import HostPlayer
 from tools.site_rig.node_player import ConfigurationPlayer, NodePlayer
 from tools.site_rig.player import Player
@@ -11,6 +12,7 @@
     NodePlayer,
     HostPlayer,
     StorePlayer,
+    ClockPlayer,
 )
 
 
--- a/tools/site_rig/words.py
+++ b/tools/site_rig/words.py
@@ -7,6 +7,7 @@
 
 from tools.site_rig.answer_words import ANSWER_WORDS
 from tools.site_rig.client_words import CLIENT_WORDS
+from tools.site_rig.clock_words import CLOCK_WORDS
 from tools.site_rig.configuration_words import CONFIGURATION_WORDS
 from tools.site_rig.node_words import NODE_WORDS
 from tools.site_rig.spread import Word
@@ -21,5 +22,6 @@
         **STORE_WORDS,
         **ANSWER_WORDS,
         **CLIENT_WORDS,
+        **CLOCK_WORDS,
     }
 )
