--- a/tests/site_rig/test_node_process.py
+++ b/tests/site_rig/test_node_process.py
@@ -145,6 +145,7 @@
 
         assert len(stand.processes) == 1
         assert stand.processes[0].returncode is not None
+        assert stand.node.has_left
 
     # Guards against a node that comes back although its host is gone.
     @pytest.mark.parametrize('how', ['stop', 'remove'])
@@ -163,6 +164,24 @@
 
         assert len(stand.processes) == 1
 
+    # Guards against a machine that is gone while its node still answers.
+    @pytest.mark.parametrize('way', ['stop', 'kill'])
+    def test_left(self, stand, monkeypatch, way):
+        monkeypatch.setattr(Process, 'send_signal', lambda *signals: None)
+
+        async def stopped() -> None:
+            if way == 'kill':
+                stand.node._is_held = True
+            stopping = asyncio.ensure_future(stand.node.stop())
+            await asyncio.sleep(0)
+            assert not stand.node.has_left
+            stand.processes[0].returncode = 0
+            await stopping
+
+        asyncio.run(stopped())
+
+        assert stand.node.has_left
+
     # Guards against a start that looks as if the rig had made it.
     def test_revival(self, stand):
         async def revived() -> None:
--- a/tools/site_rig/clients.py
+++ b/tools/site_rig/clients.py
@@ -13,6 +13,7 @@
 from tools.site_rig.client_troubles import ClientTroubles
 from tools.site_rig.manners import manner_of
 from tools.site_rig.member import Member
+from tools.site_rig.new_work import NewWork
 from tools.site_rig.player import play_all
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import RequestClass, Traffic
@@ -34,6 +35,7 @@
         self._member = member
         self._traffic = traffic
         self._numbers = itertools.count()
+        self._new_work = NewWork(folder=scene.folder)
         self._troubles = ClientTroubles(zone=traffic.zone, rng=self._rng)
         zones = {host.zone: None for host in scene.hosts}
         self._clients = {zone: self._clients_of(zone) for zone in zones}
@@ -84,17 +86,19 @@
             due_s += self._rng.expovariate(self._rate_per_s(due_s))
             await asyncio.sleep(due_s - time.monotonic())
             kind = self._rng.choices(self._kinds, self._weights)[0]
-            self._send(self._rng.choice(self._present()), kind)
+            present = self._present()
+            if present:
+                self._send(self._rng.choice(present), kind)
 
     def _present(self) -> list[Client]:
-        """Return the clients whose machine is there."""
+        """Return the clients whose machine gets new work."""
         shift = self._troubles.shift
         zone = shift.to_zone if shift else self._traffic.zone
-        at_s = time.monotonic() - self._member.scene.began_s
+        taking = self._new_work.hosts()
         return [
             client
             for client in self._clients[zone]
-            if client.host.is_there(at_s)
+            if client.host.name in taking
         ]
 
     def _rate_per_s(self, now_s: float) -> float:
--- a/tools/site_rig/deployment.py
+++ b/tools/site_rig/deployment.py
@@ -12,6 +12,7 @@
 from tools.site_rig.operator_players import operator_players
 from tools.site_rig.player import play_all
 from tools.site_rig.readiness import wait_until_ready
+from tools.site_rig.ready_watch import ReadyWatch
 from tools.site_rig.scene import Disruption, Scene
 from tools.site_rig.stage import Stage
 
@@ -27,6 +28,7 @@
     def __init__(self, *, scene: Scene, code: pathlib.Path) -> None:
         self._scene = scene
         self._stage = Stage(scene=scene, code=code)
+        self._watch = ReadyWatch(stage=self._stage)
         self._members: list[subprocess.Popen[bytes]] = []
 
     async def play(self) -> None:
@@ -40,15 +42,12 @@
         scene = self._scene
         self._stage.configure(Disruption(at_s=0, kind='config_change'))
         self._start_members('target_process', TARGET_GROUPS)
-        for host in scene.first_hosts:
-            await self._stage.start_node(host)
-        await wait_until_ready(scene.first_hosts)
+        await self._start_nodes()
         began_s = time.monotonic() + _CALM_S
         self._scene = msgspec.structs.replace(scene, began_s=began_s)
         self._scene.begin()
         self._start_members('client_process', CLIENT_GROUPS)
-        players = operator_players(self._stage)
-        playing = asyncio.ensure_future(play_all(self._scene, players))
+        playing = asyncio.ensure_future(self._operate())
         last_s = self._scene.ends_s + _LAST_ANSWERS_S
         done, _ = await asyncio.wait(
             (playing,), timeout=last_s - time.monotonic()
@@ -59,6 +58,18 @@
         await asyncio.sleep(last_s - time.monotonic())
         playing.cancel()
 
+    async def _start_nodes(self) -> None:
+        hosts = self._scene.first_hosts
+        for host in hosts:
+            await self._stage.start_node(host)
+        await wait_until_ready(hosts)
+        await self._watch.ask()
+
+    async def _operate(self) -> None:
+        players = operator_players(self._stage)
+        playing = play_all(self._scene, players)
+        await asyncio.gather(playing, self._watch.run())
+
     def _start_members(self, module: str, groups: int) -> None:
         folder = self._stage.folder
         scene = folder / f'{module}.json'
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -32,6 +32,8 @@
         records: RecordFile,
     ) -> None:
         self.host = host
+        # Its host is gone, and it has ended.
+        self.has_left = False
         self.clock = ClockFile(path=settings.path.with_suffix('.clock'))
         self._settings = settings
         self._log = settings.path.with_suffix('.log')
@@ -86,6 +88,9 @@
         """Send SIGTERM; its host is gone and it does not start again."""
         self._is_gone = True
         await self._terminate()
+        while self._is_running:
+            await asyncio.sleep(_POLL_S)
+        self.has_left = True
 
     async def kill(self, down_s: float, *, is_dark: bool = False) -> None:
         """Send SIGKILL, and start again after a time.
@@ -110,6 +115,7 @@
         self._is_gone = True
         self._note(SignalKind.KILL)
         self.end()
+        self.has_left = True
         self._note(SignalKind.END, _status(self._process))
 
     async def revive(self) -> None:
--- a/tools/site_rig/readiness.py
+++ b/tools/site_rig/readiness.py
@@ -27,13 +27,14 @@
     """Wait until each host's node is ready."""
     ends_s = time.monotonic() + _LIMIT_S
     for host in hosts:
-        while not await _is_ready(host):
+        while not await is_ready(host):
             if time.monotonic() > ends_s:
                 raise NotReadyError(f'{host.name} is not ready')
             await asyncio.sleep(_POLL_S)
 
 
-async def _is_ready(host: Host) -> bool:
+async def is_ready(host: Host) -> bool:
+    """Ask a node once; tell whether it answers that it is ready."""
     client = Client(
         address=Address(host=host.ip, port=host.port('ready')),
         settings=ClientSettings(connect_timeout_s=_TIMEOUT_S),
@@ -42,4 +43,6 @@
         answer = await asyncio.wait_for(client.exchange(_QUESTION), _TIMEOUT_S)
     except (HttpIoError, TimeoutError):
         return False
+    finally:
+        client.close()
     return answer.status == 200
--- a/tools/site_rig/scene.py
+++ b/tools/site_rig/scene.py
@@ -22,8 +22,6 @@
 _TARGET_PORT = 8301
 _METRICS_PORT = 9464
 _POLL_S = 0.05
-# From the start of a node until it is ready.
-_READY_S = 2.0
 
 
 class Host(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,11 +40,6 @@
     arrives_s: float = 0
     leaves_s: float = 0
 
-    def is_there(self, at_s: float) -> bool:
-        """Tell whether clients are planned to be beside it."""
-        ready_s = self.arrives_s + _READY_S if self.arrives_s else 0
-        return ready_s <= at_s and not 0 < self.leaves_s <= at_s
-
     def address(self, role: str) -> str:
         """Return the address of a role of the node."""
         return f'{self.ip}:{_PORTS[role]}'
