--- a/tests/site_rig/test_plans.py
+++ b/tests/site_rig/test_plans.py
@@ -2,21 +2,37 @@
 
 import collections
 
+import msgspec
 import pytest
 
 from tests.site_rig.small_site import small_hosts, small_site
 from tools.site_rig.plans import Plan, plan_of
+from tools.site_rig.scene import Host
 from tools.site_rig.site import Closing, Day, PlanEntry
 from tools.site_rig.spread import Spread
 
 LENGTH_S = 44
 
 
-def planned(*entries: PlanEntry, closing: Closing | None = None) -> Plan:
+NOWHERE = frozenset()
+# One target of a service in a failure domain, the others in another.
+TWO_ZONES = tuple(
+    msgspec.structs.replace(
+        host, zone='z' if host.service == 'ledger' or not number else 'y'
+    )
+    for number, host in enumerate(small_hosts())
+)
+
+
+def planned(
+    *entries: PlanEntry,
+    closing: Closing | None = None,
+    hosts: tuple[Host, ...] = (),
+) -> Plan:
     day = Day(name='d', faults=entries, closing=closing)
     spread = Spread(
         site=small_site(day=(day,)),
-        hosts=small_hosts(),
+        hosts=hosts or small_hosts(),
         length_s=LENGTH_S,
         seed=1,
     )
@@ -40,7 +56,7 @@
     'kill a herd': (PlanEntry(at=1, kind='herd_kill'), {'node_kill': 4}),
     'kill after a change': (
         PlanEntry(at=1, kind='after_ack_kill', count=2),
-        {'config_change': 1, 'node_kill': 2},
+        {'config_change': 1, 'node_kill': 2, 'crash': 2},
     ),
     'kill, and more of it': (
         PlanEntry(at=1, kind='node_kill', how='race drain'),
@@ -89,6 +105,10 @@
         PlanEntry(at=1, kind='platform_down', how='nodes reset meet drain'),
         {'store_gate': 3, 'config_change': 1, 'leave': 1},
     ),
+    'clients that would leave send once': (
+        PlanEntry(at=1, kind='give_up', how='once'),
+        {'give_up': 1},
+    ),
     'the store is slow': (
         PlanEntry(at=1, kind='platform_slow'),
         {'store_gate': 6},
@@ -136,7 +156,16 @@
             ),
             (
                 PlanEntry(at=1, kind='platform_down', how='silent lapse'),
-                'platform_down lapse at 1 s',
+                'platform_down lapse (no leases in this store: it is down '
+                'until those of nodes have run out) at 1 s',
+            ),
+            (
+                PlanEntry(at=2, kind='core_cut', how='revoke'),
+                'core_cut revoke (idle routes in the place of keys) at 2 s',
+            ),
+            (
+                PlanEntry(at=1, kind='give_up', how='once prompt'),
+                'give_up prompt at 1 s',
             ),
             (
                 PlanEntry(at=1, kind='roll_term', how='busy leader'),
@@ -151,6 +180,36 @@
     def test_left_out(self, entry, left_out):
         assert left_out in planned(entry).not_played
 
+    # Guards against leases that outlast the store, or a longer one cut short.
+    @pytest.mark.parametrize(
+        ('how', 'for_s', 'lasts_s'),
+        [
+            ('silent', 4.5, 4.5),
+            ('silent lapse', 4.5, 8.5),
+            ('lapse', None, 8.5),
+            ('lapse', 12, 12),
+        ],
+    )
+    def test_leases(self, how, for_s, lasts_s):
+        plan = planned(
+            PlanEntry(at=1, kind='platform_down', how=how, for_s=for_s)
+        )
+
+        assert counts(plan) == {'store_gate': 6}
+        assert {made.for_s for made in plan.disruptions} == {lasts_s}
+
+    # Guards against taking away before, or after, nodes are cut off.
+    @pytest.mark.parametrize('kind', ['platform_down', 'node_cut', 'core_cut'])
+    def test_revoked(self, kind):
+        plan = planned(PlanEntry(at=3, kind=kind, how='revoke', for_s=2))
+
+        changes = [
+            (made.at_s, made.how)
+            for made in plan.disruptions
+            if made.kind == 'config_change'
+        ]
+        assert changes == [(3.2, 'revoke')]
+
     # Guards against machines that stop one by one where two are asked for.
     def test_two_at_a_time(self):
         entry = PlanEntry(at=1, kind='roll_term', ratio=2, gap_s=2)
@@ -190,18 +249,70 @@
         assert len(set(addresses)) == len(addresses) == 7
         assert plan.hosts[-1].arrives_s == 5
 
-    # Guards against clients beside a host that isn't there.
-    def test_presence(self):
+    # Guards against a new host of another service, or one that is late.
+    def test_released(self):
         plan = planned(PlanEntry(at=5, kind='release', count=1))
 
         old = next(host for host in plan.hosts if host.leaves_s)
         new = plan.hosts[-1]
-        assert old.is_there(0)
-        assert not old.is_there(20)
-        assert not new.is_there(5)
-        assert new.is_there(20)
+        assert (old.arrives_s, new.arrives_s) == (0, 5)
         assert new.service == old.service
 
+    # Guards against notices for others, and targets that are gone late.
+    @pytest.mark.parametrize(
+        ('how', 'gone_after_s', 'zones', 'arrivals_s'),
+        [
+            ('spot', 2, {'z', 'y'}, [11, 11]),
+            ('reclaim', 2.5, {'z'}, []),
+        ],
+    )
+    def test_notice(self, how, gone_after_s, zones, arrivals_s):
+        entry = PlanEntry(
+            at=5, kind='scale_in', how=how, zone='z', service='desk', count=2
+        )
+        plan = planned(entry, hosts=TWO_ZONES)
+
+        left = [made for made in plan.disruptions if made.kind == 'leave']
+        assert {made.how for made in left} == {'notice'}
+        assert {made.for_s for made in left} == {gone_after_s}
+        assert {host.zone for host in plan.hosts if host.leaves_s} <= zones
+        assert times(plan, 'arrive') == arrivals_s
+        assert not plan.not_played
+
+    # Guards against taking away the last targets of a service.
+    def test_reclaimed(self):
+        entry = PlanEntry(at=5, kind='scale_in', how='reclaim', zone='z')
+
+        reclaimed = planned(entry, hosts=TWO_ZONES)
+
+        left = [made.host for made in reclaimed.disruptions]
+        assert left == [TWO_ZONES[0].name]
+
+    # Guards against new hosts where, or when, none are to be had.
+    @pytest.mark.parametrize(
+        ('how', 'at_s', 'zones'),
+        [
+            ('reclaim', 9, {'y'}),
+            ('reclaim dry', 9, NOWHERE),
+            ('reclaim dry', 14, {'z', 'y'}),
+        ],
+    )
+    def test_dry(self, how, at_s, zones):
+        reclaim = PlanEntry(
+            at=5, kind='scale_in', how=how, zone='z', for_s=4, count=1
+        )
+        more = PlanEntry(at=at_s, kind='scale_out', how='', share=1, gap_s=0.1)
+
+        plan = planned(
+            reclaim,
+            msgspec.structs.replace(more, service='desk'),
+            msgspec.structs.replace(more, service='ledger'),
+            hosts=TWO_ZONES,
+        )
+
+        new = {host.zone for host in plan.hosts if host.arrives_s}
+        assert new == zones
+
     # Guards against a new target at an address that still is in use.
     @pytest.mark.parametrize(
         ('how', 'least_s'), [('', 8), ('side', 2), ('drain', 10)]
@@ -250,6 +361,34 @@
         ]
         assert set(killed) == {how}
 
+    # Guards against targets that outlast the power of their machines.
+    @pytest.mark.parametrize(
+        ('entry', 'closing', 'for_s'),
+        [
+            (PlanEntry(at=1, kind='node_kill'), None, None),
+            (PlanEntry(at=1, kind='after_ack_kill', how='kill'), None, None),
+            (None, Closing(kind='kill_all', down_s=1), None),
+            (PlanEntry(at=1, kind='node_kill', how='power', for_s=3), None, 3),
+            (PlanEntry(at=1, kind='after_ack_kill', for_s=3), None, 3),
+            (None, Closing(kind='power_off_all', down_s=0.7), 0.7),
+        ],
+    )
+    def test_targets_without_power(self, entry, closing, for_s):
+        plan = planned(*filter(None, (entry,)), closing=closing)
+
+        def struck(kind: str) -> list[tuple[str, float]]:
+            return [
+                (made.host, made.at_s)
+                for made in plan.disruptions
+                if made.kind == kind
+            ]
+
+        crashed = [made for made in plan.disruptions if made.kind == 'crash']
+        expected = struck('node_kill') if for_s else []
+        assert struck('crash') == expected
+        assert all(made.how == 'dark' for made in crashed)
+        assert all(made.for_s == for_s for made in crashed)
+
     # Guards against another end that is played as one that is known.
     def test_unknown(self):
         plan = planned(closing=Closing(kind='kill_all', down_s=1, how='timed'))
--- a/tests/site_rig/test_target_life.py
+++ b/tests/site_rig/test_target_life.py
@@ -10,8 +10,10 @@
 
 from tests.site_rig.small_site import small_hosts
 from tools.site_rig.replies import Reply
+from tools.site_rig.scene import Disruption
 from tools.site_rig.target_connection import App, Arrival
 from tools.site_rig.target_life import Leaving, TargetLife
+from tools.site_rig.target_life_player import TargetLifePlayer, leaving_of
 from tools.site_rig.target_server import TargetServer
 
 _MODULE = 'tools.site_rig.target_life'
@@ -78,6 +80,21 @@
 
         asyncio.run(lived())
 
+    def take_away(self, after_s: float, *, is_acknowledged: bool) -> None:
+        """Live, be given notice and be gone."""
+
+        async def lived() -> None:
+            await self.life.begin()
+            self.beats.is_acknowledged = is_acknowledged
+            await self.life.leave(
+                Leaving(drain_s=9, serves_on_s=9, gone_after_s=after_s)
+            )
+            told = len(self.beats.told)
+            await turns()
+            assert len(self.beats.told) == told
+
+        asyncio.run(lived())
+
     def _beats(self, **options) -> Beats:
         self.beats = Beats(**options)
         return self.beats
@@ -158,6 +175,98 @@
         await asyncio.sleep(0)
 
 
+class TestNotice:
+    """A target that is taken away soon after a notice."""
+
+    # Guards against targets that leave unannounced, or drain to the end.
+    @pytest.mark.parametrize('is_acknowledged', [True, False])
+    def test_gone(self, stand, monkeypatch, is_acknowledged):
+        monkeypatch.setattr(f'{_MODULE}._PATIENCE_S', 60)
+
+        stand.take_away(0.05, is_acknowledged=is_acknowledged)
+
+        assert set(stand.beats.told) == {'draining'}
+        assert (len(stand.beats.told) == 1) is is_acknowledged
+        assert stand.target.is_down
+        assert stand.life.has_left
+        assert not stand.address.is_open
+
+    # Guards against mixing up the ways to leave.
+    @pytest.mark.parametrize(
+        ('how', 'leaving'),
+        [
+            ('', Leaving(drain_s=2, serves_on_s=3)),
+            ('abrupt', Leaving(drain_s=2, serves_on_s=3, is_abrupt=True)),
+            ('notice', Leaving(drain_s=0, serves_on_s=0, gone_after_s=3)),
+        ],
+    )
+    def test_ways(self, how, leaving):
+        left = Disruption(at_s=1, kind='leave', how=how, for_s=3)
+
+        assert leaving_of(left, drain_s=2) == leaving
+
+
+class Group:
+    """A group of targets that notes what is started."""
+
+    def __init__(self, folder) -> None:
+        host = small_hosts()[0]
+        self.started: list[str] = []
+        self.found = SimpleNamespace(
+            has_left=False,
+            target=SimpleNamespace(host=host),
+            darken=lambda: None,
+            end=lambda: None,
+        )
+        self.member = SimpleNamespace(
+            group=host.group,
+            scene=SimpleNamespace(
+                folder=str(folder), host_named=lambda name: host
+            ),
+            records=SimpleNamespace(add=lambda record: None),
+        )
+
+    def life(self, host) -> SimpleNamespace:
+        return self.found
+
+    async def start(self, host) -> None:
+        self.started.append(host.name)
+
+
+class TestPower:
+    """A target whose machine loses power for a while."""
+
+    # Guards against targets that come back where they are gone for good.
+    @pytest.mark.parametrize(
+        ('event', 'starts'), [('', 1), ('left', 0), ('replaced', 0)]
+    )
+    def test_comes_back(self, tmp_path, event, starts):
+        group = Group(tmp_path)
+        player = TargetLifePlayer(group=group)
+        crash = Disruption(at_s=1, kind='crash', how='dark', for_s=0.01)
+
+        async def struck() -> None:
+            striking = asyncio.ensure_future(player.play(crash))
+            await asyncio.sleep(0)
+            group.found.has_left = event == 'left'
+            if event == 'replaced':
+                group.found = SimpleNamespace(has_left=False)
+            await striking
+
+        asyncio.run(struck())
+
+        assert len(group.started) == starts
+
+    # Guards against a target that speaks while its machine has no power.
+    def test_leaves_meanwhile(self, stand):
+        stand.target.is_down = True
+
+        stand.leave(is_abrupt=False)
+
+        assert not stand.beats.told
+        assert stand.life.has_left
+
+
 class TestServer:
     """The address of a target."""
 
--- a/tests/site_rig/test_troubles.py
+++ b/tests/site_rig/test_troubles.py
@@ -181,6 +181,30 @@
         assert 0.9 * most_s < max(left_s) <= most_s
         assert troubles.patience_s(0.3, 800) == float('inf')
 
+    # Guards against clients that leave, or retry, though they send once.
+    @pytest.mark.parametrize(
+        ('entries', 'retries', 'leaves'),
+        [
+            ((), 1, False),
+            (('give_up',), 1, True),
+            (('give_up once',), 0, False),
+            (('give_up once', 'retry_abuse'), 0, False),
+            (('retry_abuse',), 4, False),
+        ],
+    )
+    def test_once(self, entries, retries, leaves):
+        words = [word.partition(' ') for word in entries]
+        troubles = clients_under(
+            *(
+                PlanEntry(at=1, kind=kind, how=how, share=0.3)
+                for kind, _, how in words
+            )
+        )
+
+        assert troubles.retries(0.2) == retries
+        assert troubles.retries(0.3) == 1
+        assert (troubles.patience_s(0.2, 800) < 1) is leaves
+
     # Guards against a shift without a place to go to, or of all clients.
     def test_shift(self):
         assert planned(PlanEntry(at=1, kind='shift')).disruptions == ()
--- a/tools/site_rig/client.py
+++ b/tools/site_rig/client.py
@@ -18,7 +18,6 @@
 _MS_PER_S = 1000
 _SPARE_CONNECTIONS = 2
 _IDLE_SHARE = 0.8
-_RETRIES = 1
 _LEAST_LEFT_S = 0.05
 _RETRIED_STATUSES = frozenset((408, 421, 429, 503))
 _FAILURES = 500
@@ -66,7 +65,7 @@
         body = b'x' * self._body_bytes(kind)
         habit = _PIPELINE if self.manner.is_pipelined else kind.habit
         repeats = self._troubles.repeats(self.place)
-        for number in range(1 + _RETRIES + repeats):
+        for number in range(1 + self._troubles.retries(self.place)):
             left_s = ends_s - time.monotonic()
             if left_s < _LEAST_LEFT_S:
                 return
--- a/tools/site_rig/client_troubles.py
+++ b/tools/site_rig/client_troubles.py
@@ -8,6 +8,9 @@
 ABUSE = 'retry_abuse'
 LEAVE = 'give_up'
 SHIFT = 'shift'
+# Clients that would leave stay, and don't retry.
+ONCE = 'once'
+_RETRIES = 1
 CLIENT_TROUBLES = frozenset((BURST, ABUSE, LEAVE, SHIFT))
 _MS_PER_S = 1000
 _ENDLESS_PATIENCE_S = float('inf')
@@ -48,6 +51,12 @@
             None,
         )
 
+    def retries(self, place: float) -> int:
+        """Return how often a client sends a failed request again."""
+        left = self._of(LEAVE, place)
+        is_once = any(found.how == ONCE for found in left)
+        return 0 if is_once else _RETRIES + self.repeats(place)
+
     def repeats(self, place: float) -> int:
         """Return how many times more a client repeats, and at once."""
         times = [found.ratio for found in self._of(ABUSE, place)]
@@ -56,7 +65,9 @@
     def patience_s(self, place: float, aim_ms: float) -> float:
         """Return how long a client waits at most."""
         within_ms = [
-            found.ratio or aim_ms / 2 for found in self._of(LEAVE, place)
+            found.ratio or aim_ms / 2
+            for found in self._of(LEAVE, place)
+            if found.how != ONCE
         ]
         if not within_ms:
             return _ENDLESS_PATIENCE_S
--- a/tools/site_rig/client_words.py
+++ b/tools/site_rig/client_words.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from types import MappingProxyType
 
-from tools.site_rig.client_troubles import ABUSE, BURST, LEAVE, SHIFT
+from tools.site_rig.client_troubles import ABUSE, BURST, LEAVE, ONCE, SHIFT
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
@@ -18,6 +18,7 @@
     yield Disruption(
         at_s=entry.at,
         kind=entry.kind,
+        how=ONCE if ONCE in entry.hows else '',
         share=share if entry.share is None else entry.share,
         ratio=ratio if entry.ratio is None else entry.ratio,
         for_s=entry.for_s or _FOR_S,
@@ -42,15 +43,16 @@
     )
 
 
-def _word(share: float, ratio: float) -> Word:
-    return Word(maker=functools.partial(_press, share=share, ratio=ratio))
+def _word(share: float, ratio: float, *hows: str) -> Word:
+    maker = functools.partial(_press, share=share, ratio=ratio)
+    return Word(maker=maker, hows=frozenset(hows))
 
 
 CLIENT_WORDS: MappingProxyType[str, Word] = MappingProxyType(
     {
         BURST: _word(1, 1.7),
         ABUSE: _word(0.3, 3),
-        LEAVE: _word(0.3, 0),
+        LEAVE: _word(0.3, 0, ONCE),
         SHIFT: Word(maker=_shift),
     }
 )
--- a/tools/site_rig/configurations.py
+++ b/tools/site_rig/configurations.py
@@ -11,6 +11,7 @@
 _HEADER_TIMEOUT_MS = 3000
 IDLE_LIMITS_S = (4.0, 6.0, 10.0, 15.0)
 _MS_PER_S = 1000
+_IDLE_ROUTES = 8
 # No route gets less than its own time limit, so that the check may use that.
 _TIMEOUT_RATIOS = (1.0, 1.25, 1.5)
 _WEIGHTS = (1, 2, 4, 9)
@@ -26,11 +27,14 @@
         self._idle_limit_s = 10.0
         self._timeout_ratios: dict[str, float] = {}
         self._moved: dict[str, dict] = {}
+        # Routes that no client uses.
+        self._idle = [f'idle-{number}' for number in range(_IDLE_ROUTES)]
         self._changes: dict[str, Callable[[], None]] = {
             'timeout': self._change_timeouts,
             'route': self._move_routes,
             'weights': self._change_weights,
             'skew': self._change_weights,
+            'revoke': self._take_away,
         }
 
     def change(self, how: str, idle_limit_s: float = 0) -> dict:
@@ -50,7 +54,8 @@
                 {
                     'host': ROUTE_HOST,
                     'routeRules': [
-                        self._rule(kind) for kind in self._site.classes
+                        *map(self._rule, self._site.classes),
+                        *map(self._idle_rule, self._idle),
                     ],
                 }
             ],
@@ -81,6 +86,16 @@
             'action': action,
         }
 
+    def _idle_rule(self, name: str) -> dict:
+        kind = self._site.classes[0]
+        named = {'name': name, 'match': {'pathPrefix': f'/{name}/'}}
+        return self._rule(kind) | named
+
+    def _take_away(self) -> None:
+        """Drop half of the idle routes that are left."""
+        left = len(self._idle) // 2
+        self._idle = self._rng.sample(self._idle, left)
+
     def _change_timeouts(self) -> None:
         for kind in self._site.classes:
             ratio = self._rng.choice(_TIMEOUT_RATIOS)
--- a/tools/site_rig/heartbeats.py
+++ b/tools/site_rig/heartbeats.py
@@ -13,6 +13,7 @@
 
 _INTERVAL_S = 1.5
 _TIMEOUT_S = 1.0
+_MS_PER_S = 1000
 _ACKNOWLEDGED = range(200, 300)
 
 
@@ -78,7 +79,7 @@
             'version': 'v1',
             'slots': self._slots,
             'state': 'draining' if target.is_leaving else 'ready',
-            'warmupLeftMs': 0,
+            'warmupLeftMs': int(target.warmup_left_s * _MS_PER_S),
             'seq': self._sequence,
             'born': target.started_ms,
         }
--- a/tools/site_rig/main.py
+++ b/tools/site_rig/main.py
@@ -61,7 +61,7 @@
         length_s=length_s,
         rate_ratio=options.rate,
         odd_share=options.odd,
-        not_played=plan.not_played + site.net.not_played,
+        not_played=plan.not_played + site.net.not_played + site.unread,
     )
 
 
--- a/tools/site_rig/node_words.py
+++ b/tools/site_rig/node_words.py
@@ -4,8 +4,10 @@
 from collections.abc import Iterator
 from types import MappingProxyType
 
+import msgspec
+
 from tools.site_rig.companions import COMPANIONS, companions
-from tools.site_rig.scene import Disruption
+from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
 
@@ -19,6 +21,22 @@
 _REMOVED_AFTER_S = 1.0
 
 
+def killed(
+    host: Host, at_s: float, down_s: float, *, is_dark: bool
+) -> Iterator[Disruption]:
+    """Kill a node; a loss of power strikes the target beside it too."""
+    struck = Disruption(
+        at_s=at_s,
+        kind='node_kill',
+        host=host.name,
+        how='dark' if is_dark else '',
+        for_s=down_s,
+    )
+    yield struck
+    if is_dark:
+        yield msgspec.structs.replace(struck, kind='crash')
+
+
 def _roll(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     at_once = max(1, int(entry.ratio or 1))
     for number, host in enumerate(spread.machines(entry, 1)):
@@ -45,13 +63,7 @@
     down_s = (entry.for_s or _USUAL_S) if is_dark else _DOWN_S
     yield from companions(spread, entry, entry.at + down_s)
     for host in spread.machines(entry, 0.6 if _is_herd(entry) else 0.1):
-        yield Disruption(
-            at_s=entry.at,
-            kind='node_kill',
-            host=host.name,
-            how='dark' if is_dark else '',
-            for_s=down_s,
-        )
+        yield from killed(host, entry.at, down_s, is_dark=is_dark)
 
 
 def _kill_after_ack(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
@@ -60,13 +72,8 @@
     is_kill = 'kill' in entry.hows
     down_s = _DOWN_S if is_kill else entry.for_s or _USUAL_S
     for host in itertools.islice(spread.machines(entry, 1), entry.count or 1):
-        yield Disruption(
-            at_s=entry.at + spread.rng.uniform(*span),
-            kind='node_kill',
-            host=host.name,
-            how='' if is_kill else 'dark',
-            for_s=down_s,
-        )
+        at_s = entry.at + spread.rng.uniform(*span)
+        yield from killed(host, at_s, down_s, is_dark=not is_kill)
 
 
 def _freeze(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -8,9 +8,11 @@
 from tools.site_rig.answer_ways import endless_way
 from tools.site_rig.drawn_plans import DRAWN, drawn_plan
 from tools.site_rig.endless import ENDLESS
+from tools.site_rig.node_words import killed
 from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.site import Closing, PlanEntry, Site
 from tools.site_rig.spread import Spread
+from tools.site_rig.weaker_words import WEAKER
 from tools.site_rig.words import WORDS
 
 MIXED = 'mixed'
@@ -134,6 +136,8 @@
             self._leave_out(entry.kind, ' '.join(sorted(rest)), entry.at)
         if word.lacks:
             self._leave_out(entry.kind, word.lacks, entry.at)
+        for how in sorted(entry.hows & word.hows & set(WEAKER)):
+            self._leave_out(entry.kind, f'{how} ({WEAKER[how]})', entry.at)
         made = list(word.maker(self._spread, entry))
         if not made:
             self._leave_out(entry.kind, '(no host for it)', entry.at)
@@ -147,12 +151,11 @@
             return
         yield Disruption(at_s=at_s, kind='config_change', how='timeout')
         for host in self._spread.there(at_s):
-            yield Disruption(
-                at_s=at_s + _AFTER_CHANGE_S,
-                kind='node_kill',
-                host=host.name,
-                how='dark' if closing.kind == 'power_off_all' else '',
-                for_s=closing.down_s,
+            yield from killed(
+                host,
+                at_s + _AFTER_CHANGE_S,
+                closing.down_s,
+                is_dark=closing.kind == 'power_off_all',
             )
 
     def _leave_out(self, kind: str, how: str, at_s: float) -> None:
--- a/tools/site_rig/site.py
+++ b/tools/site_rig/site.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from tools.site_rig.unread_fields import unread_fields
+
 
 class Distribution(msgspec.Struct, frozen=True, kw_only=True):
     """Log-normal values with a tail and an upper bound."""
@@ -79,6 +81,9 @@
     queue: int
     conn_cap: int
     speeds: tuple[float, ...]
+    # A new target works ``cold_x`` times as long at first.
+    cold_s: float = 0
+    cold_x: float = 1
 
 
 class Machines(msgspec.Struct, frozen=True, kw_only=True):
@@ -212,6 +217,8 @@
     troubles: tuple[PlanEntry, ...] = ()
     net: Net = Net()
     day: tuple[Day, ...]
+    # Fields of the file that the rig leaves out, as lines.
+    unread: tuple[str, ...] = ()
 
     def class_named(self, name: str) -> RequestClass:
         """Return a kind of request."""
@@ -229,4 +236,5 @@
 def load_site(path: pathlib.Path) -> Site:
     """Read a site file; what the rig doesn't play is left out."""
     content: dict[str, Any] = tomllib.loads(path.read_text('utf-8'))
-    return msgspec.convert(content, Site, strict=False)
+    site = msgspec.convert(content, Site, strict=False)
+    return msgspec.structs.replace(site, unread=unread_fields(content, site))
--- a/tools/site_rig/spread.py
+++ b/tools/site_rig/spread.py
@@ -20,6 +20,7 @@
         self.length_s = length_s
         self.rng = random.Random(seed)  # noqa: S311
         self._hosts = {host.name: host for host in hosts}
+        self._dry: list[tuple[str, float]] = []
 
     @property
     def hosts(self) -> tuple[Host, ...]:
@@ -67,6 +68,17 @@
         self._hosts[host.name] = host
         return host
 
+    def dry_up(self, zone: str, until_s: float) -> None:
+        """Let no hosts be had in a failure domain, '' for all, for a time."""
+        self._dry.append((zone, until_s))
+
+    def is_dry(self, host: Host, at_s: float) -> bool:
+        """Tell whether no host like one is to be had then."""
+        return any(
+            zone in {'', host.zone} and at_s < until_s
+            for zone, until_s in self._dry
+        )
+
     def leave(self, host: Host, at_s: float) -> None:
         """Note when a host is gone."""
         leaving = msgspec.structs.replace(host, leaves_s=at_s)
--- a/tools/site_rig/store_words.py
+++ b/tools/site_rig/store_words.py
@@ -24,12 +24,17 @@
 _HOWS = ('silent', 'busy', 'reset')
 # Watches hear nothing for as long before the history is dropped.
 _DEAF_S = 1.0
+# Until a lease of a node, and its margin, have run out.
+_LEASE_S = 8.5
 
 
 def _down(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     how = next((word for word in _HOWS if word in entry.hows), 'silent')
     is_for_some = 'nodes' in entry.hows
     hosts = spread.machines(entry, _SHARE) if is_for_some else spread.hosts
+    if 'lapse' in entry.hows:
+        for_s = max(entry.for_s or 0, _LEASE_S)
+        entry = msgspec.structs.replace(entry, for_s=for_s)
     yield from _at_gates(spread, entry, hosts, how)
 
 
@@ -88,7 +93,7 @@
 STORE_WORDS = MappingProxyType(
     {
         'platform_down': Word(
-            maker=_down, hows=COMPANIONS | frozenset((*_HOWS, 'nodes'))
+            maker=_down, hows=COMPANIONS | frozenset((*_HOWS, 'nodes', 'lapse'))
         ),
         'platform_slow': Word(maker=_slow),
         'platform_lost': Word(maker=_lost, hows=frozenset(('late',))),
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -60,6 +60,7 @@
         self.is_leaving = False
         self.is_down = False
         self.started_ms = int(time.time() * _MS_PER_S)
+        self._started_s = time.monotonic()
         self._site = site
         self._service = site.service_named(host.service)
         self._records = records
@@ -69,6 +70,12 @@
         self._present = 0
         self._caller = Caller(host=host, records=records, rng=rng)
 
+    @property
+    def warmup_left_s(self) -> float:
+        """Return for how long it stays slow after its start."""
+        warm_s = self._started_s + self._service.cold_s
+        return max(0, warm_s - time.monotonic())
+
     async def answer(self, arrival: Arrival) -> Reply:
         """Run one request, or reject it."""
         if arrival.path.startswith('/health'):
@@ -117,6 +124,8 @@
         """Work, call in the middle, and return the status."""
         work_ms = run.kind.work_ms.draw(self._rng) / self.host.speed
         work_ms *= self.troubles.slowness
+        if self.warmup_left_s:
+            work_ms *= self._service.cold_x
         part_s = work_ms / _MS_PER_S / _PARTS_OF_WORK
         await asyncio.sleep(part_s)
         for rule in run.kind.calls:
--- a/tools/site_rig/target_life.py
+++ b/tools/site_rig/target_life.py
@@ -23,6 +23,8 @@
     drain_s: float
     serves_on_s: float
     is_abrupt: bool = False
+    # One that is taken away is gone as long after the notice, done or not.
+    gone_after_s: float | None = None
 
 
 class TargetLife:
@@ -36,6 +38,8 @@
             app=target, ip=host.ip, port=host.target_port
         )
         self._beating: asyncio.Task[None] | None = None
+        # It has begun to leave.
+        self.has_left = False
 
     async def begin(self) -> None:
         """Serve, and send heartbeats."""
@@ -44,6 +48,12 @@
 
     async def leave(self, leaving: Leaving) -> None:
         """Say that it leaves, serve for a while and end."""
+        self.has_left = True
+        if leaving.gone_after_s is not None:
+            await self._take_away(leaving.gone_after_s)
+            return
+        if self.target.is_down:
+            return
         if leaving.is_abrupt:
             await self._until_acknowledged(self._beats.leave)
         else:
@@ -68,6 +78,15 @@
         self.target.is_down = True
         self._beating.cancel()
 
+    async def _take_away(self, after_s: float) -> None:
+        self.target.is_leaving = True
+        telling = asyncio.ensure_future(
+            self._until_acknowledged(self._beats.tell)
+        )
+        await asyncio.sleep(after_s)
+        telling.cancel()
+        self.end()
+
     async def _until_acknowledged(self, tell) -> None:
         ends_s = time.monotonic() + _PATIENCE_S
         while not await tell() and time.monotonic() < ends_s:
--- a/tools/site_rig/target_life_player.py
+++ b/tools/site_rig/target_life_player.py
@@ -9,6 +9,7 @@
 from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.target_group import TargetGroup
 from tools.site_rig.target_life import Leaving, TargetLife
+from tools.site_rig.target_words import NOTICE
 
 _MS_PER_S = 1000
 # A target that is gone for good is so beyond the end of a run.
@@ -38,14 +39,8 @@
             await self._plays[disruption.kind](life, disruption)
 
     async def _leave(self, life: TargetLife, disruption: Disruption) -> None:
-        bounds = self._scene.site.bounds
-        await life.leave(
-            Leaving(
-                drain_s=bounds.drain_ms / _MS_PER_S,
-                serves_on_s=disruption.for_s,
-                is_abrupt=disruption.how == 'abrupt',
-            )
-        )
+        drain_s = self._scene.site.bounds.drain_ms / _MS_PER_S
+        await life.leave(leaving_of(disruption, drain_s))
         self._departures.note(disruption.host)
 
     async def _crash(self, life: TargetLife, disruption: Disruption) -> None:
@@ -55,8 +50,11 @@
             life.darken()
         else:
             life.end()
-        if disruption.for_s:
-            await asyncio.sleep(disruption.for_s)
+        if not disruption.for_s:
+            return
+        await asyncio.sleep(disruption.for_s)
+        # Its address may be another's by now, and one that left stays away.
+        if self._group.life(host) is life and not life.has_left:
             await self._group.start(host)
 
     def _note(self, host: Host, disruption: Disruption) -> None:
@@ -70,3 +68,14 @@
                 is_of_target=True,
             )
         )
+
+
+def leaving_of(disruption: Disruption, drain_s: float) -> Leaving:
+    """Return how a target leaves, by a disruption."""
+    if disruption.how == NOTICE:
+        return Leaving(drain_s=0, serves_on_s=0, gone_after_s=disruption.for_s)
+    return Leaving(
+        drain_s=drain_s,
+        serves_on_s=disruption.for_s,
+        is_abrupt=disruption.how == 'abrupt',
+    )
--- a/tools/site_rig/target_words.py
+++ b/tools/site_rig/target_words.py
@@ -9,6 +9,8 @@
 from tools.site_rig.site import PlanEntry
 from tools.site_rig.spread import Spread, Word
 
+# It is gone a while after the notice, drained or not.
+NOTICE = 'notice'
 _MS_PER_S = 1000
 _USUAL_S = 5.0
 _ABRUPT_SHARE = 0.3
@@ -43,21 +45,19 @@
     at_once = max(1, int(entry.ratio or 1))
     for number, old in enumerate(spread.servers(entry, 0.5)):
         at_s = entry.at + number // at_once * entry.gap_s
-        yield _arrival(spread.add(old, at_s))
+        if spread.is_dry(old, at_s):
+            continue
+        yield arrival(spread.add(old, at_s))
         yield leaving(spread, old, at_s + _STARTS_FIRST_S)
 
 
-def _scale_in(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
-    is_staying = 'stay' in entry.hows
-    for host in spread.servers(entry, 0.15):
-        yield leaving(spread, host, entry.at, is_staying * (entry.for_s or 0))
-
-
 def _scale_out(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     chosen = spread.servers(entry, 0.3)
     for number, like in enumerate(chosen):
         at_s = entry.at + entry.gap_s * number / len(chosen)
-        yield _arrival(spread.add(like, at_s))
+        if spread.is_dry(like, at_s):
+            continue
+        yield arrival(spread.add(like, at_s))
 
 
 def _replace(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
@@ -71,7 +71,7 @@
         else:
             yield from _lose(spread, old, entry)
         other = _of_other_service(spread, old)
-        yield _arrival(spread.add(other, free_s, ip=old.ip))
+        yield arrival(spread.add(other, free_s, ip=old.ip))
 
 
 def _lose(spread: Spread, host: Host, entry: PlanEntry) -> Iterator[Disruption]:
@@ -106,7 +106,8 @@
         )
 
 
-def _arrival(host: Host) -> Disruption:
+def arrival(host: Host) -> Disruption:
+    """Let a host and its target arrive."""
     return Disruption(at_s=host.arrives_s, kind='arrive', host=host.name)
 
 
@@ -130,7 +131,6 @@
 TARGET_WORDS = MappingProxyType(
     {
         'release': Word(maker=_release),
-        'scale_in': Word(maker=_scale_in, hows=frozenset(('stay',))),
         'scale_out': Word(maker=_scale_out),
         'replace_with_reuse': Word(
             maker=_replace, hows=frozenset(('dark', 'drain', 'side'))
