--- a/tests/site_rig/test_target.py
+++ b/tests/site_rig/test_target.py
@@ -9,10 +9,17 @@
 import pytest
 
 from fescueknot.httpio.messages import Request, Response
+from fescueknot.platform.headers import PLATFORM_HEADERS
 from tests.site_rig.small_site import small_hosts, small_site
+from tools.site_rig.exchanges import Answer, Exchange
 from tools.site_rig.heartbeats import Heartbeats
-from tools.site_rig.records import RecordFile, RunEnd, read_records
-from tools.site_rig.site import Distribution, Site
+from tools.site_rig.records import (
+    Outcome,
+    RecordFile,
+    RunEnd,
+    read_records,
+)
+from tools.site_rig.site import CallRule, Distribution, Site
 from tools.site_rig.target import SiteTarget
 from tools.site_rig.target_connection import Arrival
 
@@ -22,7 +29,12 @@
 class Stand:
     """A target and its records."""
 
-    def __init__(self, folder: pathlib.Path, site: Site | None = None) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        site: Site | None = None,
+        number: int = 0,
+    ) -> None:
         self._path = folder / 'records.jsonl'
         self._records = RecordFile(path=self._path)
         self.target = SiteTarget(
@@ -30,11 +42,13 @@
             site=site or small_site(),
             records=self._records,
             rng=random.Random(1),
+            number=number,
         )
 
     async def answer(self, path: str):
         """Return the answer to a request."""
-        arrival = Arrival(method='GET', path=path, headers={})
+        headers = {PLATFORM_HEADERS.attempt: 'r1'}
+        arrival = Arrival(method='GET', path=path, headers=headers)
         return await self.target.answer(arrival)
 
     def ends(self) -> list[RunEnd]:
@@ -109,6 +123,37 @@
         assert [told['warmupLeftMs'] for told in sent] == [told_ms]
 
 
+class TestCalls:
+    """Calls that runs make."""
+
+    # Guards against taking the call of one run for that of another.
+    def test_ids(self, tmp_path, monkeypatch):
+        orders = []
+
+        async def send(caller, order) -> Exchange:
+            orders.append(order.attempt)
+            exchange = Exchange()
+            exchange.outcome = Outcome.ANSWERED
+            exchange.answer = Answer(status=200)
+            return exchange
+
+        monkeypatch.setattr(f'{_MODULE}.Caller.send', send)
+        rules = (CallRule(name='read', times=2),)
+        once = Distribution(mean=0, max=0)
+        stands = []
+        for number in (1, 2):
+            folder = tmp_path / str(number)
+            folder.mkdir()
+            site = cold_site(work_ms=once, calls=rules)
+            stands.append(Stand(folder, site, number))
+        for stand in (*stands, *stands):
+            asyncio.run(stand.answer('/read/1'))
+
+        assert len(orders) == 8
+        assert len(set(orders)) == 8
+        assert all(order.startswith('r1.') for order in orders)
+
+
 class TestLeaving:
     """A target that leaves."""
 
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -1,6 +1,7 @@
 """A target: slots, work, calls of its runs and the records of them."""
 
 import asyncio
+import itertools
 import random
 import time
 
@@ -68,6 +69,9 @@
         self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
+        self._calls = itertools.count()
+        # Short, and of no other target of a run.
+        self._tag = f'{host.ip.rpartition(".")[2]}-{number}'
         self._caller = Caller(host=host, records=records, rng=rng)
 
     @property
@@ -137,7 +141,7 @@
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
-        attempts = [f'{run.attempt}.{number}' for number in range(rule.times)]
+        attempts = [self._call_id(run) for _ in range(rule.times)]
         if rule.together:
             calls = [self._send(run, kind, attempt) for attempt in attempts]
             return all(await asyncio.gather(*calls))
@@ -160,6 +164,10 @@
         is_answered = exchange.outcome is Outcome.ANSWERED
         return is_answered and exchange.answer.status == _OK
 
+    def _call_id(self, run: Run) -> str:
+        """Return an id that no run of the request has used, here or there."""
+        return f'{run.attempt}.{self._tag}-{next(self._calls)}'
+
     def _run_of(self, arrival: Arrival, attempt: str) -> Run:
         kind = self._site.class_named(arrival.path.split('/')[1])
         given_ms = arrival.headers.get(NAMES.remaining_ms, kind.deadline_ms)
