--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -57,6 +57,12 @@
     PlanEntry(at=12, kind='give_up', for_s=6),
     PlanEntry(at=18, kind='shift', for_s=6),
 )
+_CLOCKS = (
+    PlanEntry(at=3, kind='clock_step', how='back', share=0.5, for_s=6),
+    PlanEntry(at=12, kind='clock_step', how='ahead', ratio=60_000, for_s=8),
+    PlanEntry(at=22, kind='clock_step', share=1, ratio=500, for_s=3),
+    PlanEntry(at=14, kind='give_up', how='once', share=0.5, for_s=8),
+)
 # Plans of the rig's own, by their names.
 OWN_PLANS = MappingProxyType(
     {
@@ -72,6 +78,7 @@
         'mixed+endless': (*_MIXED_PLAN, *_ALL_ENDLESS),
         'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
         'mixed+clients': (*_MIXED_PLAN, *_PRESSED),
+        'mixed+clocks': (*_MIXED_PLAN, *_CLOCKS),
         'mixed+targets+endless': (
             *_MIXED_PLAN,
             *_ODD_TARGETS,
