--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -52,8 +52,8 @@
                     sys.executable,
                     '-m',
                     _LAUNCHER,
-                    str(self._code),
-                    str(self.clock.path),
+                    str(self._code.resolve()),
+                    str(self.clock.path.resolve()),
                 ],
                 cwd=_ROOT,
                 env={
