--- a/tools/site_rig/node_launcher.py
+++ b/tools/site_rig/node_launcher.py
@@ -1,6 +1,7 @@
 """Runs a node's program as ``python -m`` would, on its machine.
 
-Arguments: the folder of the program, the page of the machine's links.
+Arguments: the folder of the program, the file of the machine's clock and the
+page of its links.
 """
 
 import os
@@ -8,12 +9,14 @@
 import sys
 
 from tools.site_rig.link_hook import follow_links
+from tools.site_rig.wall_clock import follow
 
 _PROGRAM = 'fescueknot.platform.main'
 
 
-def launch(code: str, links: str) -> None:
+def launch(code: str, clock: str, links: str) -> None:
     """Run the program in its folder until it ends."""
+    follow(clock)
     follow_links(links)
     os.chdir(code)
     sys.path[0] = code
--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -12,6 +12,7 @@
 from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import Host
+from tools.site_rig.wall_clock import ClockFile
 
 _POLL_S = 0.02
 _RESTART_S = 0.5
@@ -31,6 +32,9 @@
         records: RecordFile,
     ) -> None:
         self.host = host
+        # Its host is gone, and it has ended.
+        self.has_left = False
+        self.clock = ClockFile(path=settings.path.with_suffix('.clock'))
         self._settings = settings
         self._log = settings.path.with_suffix('.log')
         self._code = code
@@ -48,8 +52,9 @@
                     sys.executable,
                     '-m',
                     _LAUNCHER,
-                    str(self._code),
-                    str(self._settings.path.with_suffix('.links')),
+                    str(self._code.resolve()),
+                    str(self.clock.path.resolve()),
+                    str(self._settings.path.with_suffix('.links').resolve()),
                 ],
                 cwd=_ROOT,
                 env={
@@ -84,6 +89,9 @@
         """Send SIGTERM; its host is gone and it does not start again."""
         self._is_gone = True
         await self._terminate()
+        while self._is_running:
+            await asyncio.sleep(_POLL_S)
+        self.has_left = True
 
     async def kill(self, down_s: float, *, is_dark: bool = False) -> None:
         """Send SIGKILL, and start again after a time.
@@ -108,6 +116,7 @@
         self._is_gone = True
         self._note(SignalKind.KILL)
         self.end()
+        self.has_left = True
         self._note(SignalKind.END, _status(self._process))
 
     async def revive(self) -> None:
--- a/tools/site_rig/plans.py
+++ b/tools/site_rig/plans.py
@@ -8,9 +8,11 @@
 from tools.site_rig.answer_ways import endless_way
 from tools.site_rig.drawn_plans import DRAWN, drawn_plan
 from tools.site_rig.endless import ENDLESS
+from tools.site_rig.node_words import killed
 from tools.site_rig.scene import Disruption, Host
 from tools.site_rig.site import Closing, PlanEntry, Site
 from tools.site_rig.spread import Spread
+from tools.site_rig.weaker_words import WEAKER
 from tools.site_rig.words import WORDS
 
 MIXED = 'mixed'
@@ -67,6 +69,12 @@
     PlanEntry(at=24, kind='core_cut', how='near leader', for_s=4),
     PlanEntry(at=25, kind='reset_conns', how='silence', ratio=0.5),
 )
+_CLOCKS = (
+    PlanEntry(at=3, kind='clock_step', how='back', share=0.5, for_s=6),
+    PlanEntry(at=12, kind='clock_step', how='ahead', ratio=60_000, for_s=8),
+    PlanEntry(at=22, kind='clock_step', share=1, ratio=500, for_s=3),
+    PlanEntry(at=14, kind='give_up', how='once', share=0.5, for_s=8),
+)
 # Plans of the rig's own, by their names.
 OWN_PLANS = MappingProxyType(
     {
@@ -83,6 +91,7 @@
         'mixed+targets': (*_MIXED_PLAN, *_ODD_TARGETS),
         'mixed+clients': (*_MIXED_PLAN, *_PRESSED),
         'mixed+links': (*_MIXED_PLAN, *_LINKS),
+        'mixed+clocks': (*_MIXED_PLAN, *_CLOCKS),
         'mixed+targets+endless': (
             *_MIXED_PLAN,
             *_ODD_TARGETS,
@@ -147,6 +156,8 @@
             self._leave_out(entry.kind, ' '.join(sorted(rest)), entry.at)
         if word.lacks:
             self._leave_out(entry.kind, word.lacks, entry.at)
+        for how in sorted(entry.hows & word.hows & set(WEAKER)):
+            self._leave_out(entry.kind, f'{how} ({WEAKER[how]})', entry.at)
         made = list(word.maker(self._spread, entry))
         if not made:
             self._leave_out(entry.kind, '(no host for it)', entry.at)
@@ -160,12 +171,11 @@
             return
         yield Disruption(at_s=at_s, kind='config_change', how='timeout')
         for host in self._spread.there(at_s):
-            yield Disruption(
-                at_s=at_s + _AFTER_CHANGE_S,
-                kind='node_kill',
-                host=host.name,
-                how='dark' if closing.kind == 'power_off_all' else '',
-                for_s=closing.down_s,
+            yield from killed(
+                host,
+                at_s + _AFTER_CHANGE_S,
+                closing.down_s,
+                is_dark=closing.kind == 'power_off_all',
             )
 
     def _leave_out(self, kind: str, how: str, at_s: float) -> None:
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -61,6 +61,7 @@
         self.is_leaving = False
         self.is_down = False
         self.started_ms = int(time.time() * _MS_PER_S)
+        self._started_s = time.monotonic()
         self._site = site
         self._service = site.service_named(host.service)
         self._records = records
@@ -68,9 +69,17 @@
         self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
-        self._call_numbers = itertools.count()
+        self._calls = itertools.count()
+        # Short, and of no other target of a run.
+        self._tag = f'{host.ip.rpartition(".")[2]}-{number}'
         self._caller = Caller(host=host, records=records, rng=rng)
 
+    @property
+    def warmup_left_s(self) -> float:
+        """Return for how long it stays slow after its start."""
+        warm_s = self._started_s + self._service.cold_s
+        return max(0, warm_s - time.monotonic())
+
     async def answer(self, arrival: Arrival) -> Reply:
         """Run one request, or reject it."""
         if arrival.path.startswith('/health'):
@@ -119,6 +128,8 @@
         """Work, call in the middle, and return the status."""
         work_ms = run.kind.work_ms.draw(self._rng) / self.host.speed
         work_ms *= self.troubles.slowness
+        if self.warmup_left_s:
+            work_ms *= self._service.cold_x
         part_s = work_ms / _MS_PER_S / _PARTS_OF_WORK
         await asyncio.sleep(part_s)
         for rule in run.kind.calls:
@@ -139,10 +150,6 @@
                 return False
         return True
 
-    def _call_id(self, run: Run) -> str:
-        """Return an id that no other call has, also of another run of it."""
-        return f'{run.attempt}.{self.instance}-{next(self._call_numbers)}'
-
     async def _send(self, run: Run, kind: RequestClass, attempt: str) -> bool:
         left_ms = min(run.left_s * _MS_PER_S, kind.deadline_ms)
         exchange = await self._caller.send(
@@ -157,6 +164,10 @@
         is_answered = exchange.outcome is Outcome.ANSWERED
         return is_answered and exchange.answer.status == _OK
 
+    def _call_id(self, run: Run) -> str:
+        """Return an id that no run of the request has used, here or there."""
+        return f'{run.attempt}.{self._tag}-{next(self._calls)}'
+
     def _run_of(self, arrival: Arrival, attempt: str) -> Run:
         kind = self._site.class_named(arrival.path.split('/')[1])
         given_ms = arrival.headers.get(NAMES.remaining_ms, kind.deadline_ms)
