--- a/tests/site_rig/test_clocks.py
+++ b/tests/site_rig/test_clocks.py
@@ -64,10 +64,12 @@
         (package / 'beside.py').touch()
         clock.step(-86_400)
         launcher = (sys.executable, '-m', 'tools.site_rig.node_launcher')
+        # The program imports no asyncio, so nobody reads it.
+        links = str(tmp_path / 'links')
 
         before_s = time.time()
         seen = subprocess.run(
-            (*launcher, str(tmp_path), str(clock.path)),
+            (*launcher, str(tmp_path), str(clock.path), links),
             cwd=ROOT,
             check=True,
             capture_output=True,
--- a/tests/site_rig/test_node_launcher.py
+++ b/tests/site_rig/test_node_launcher.py
@@ -9,6 +9,7 @@
 
 from tools.site_rig.link_hook import follow_links
 from tools.site_rig.link_pages import LinkPage, write_page
+from tools.site_rig.wall_clock import ClockFile
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 
@@ -40,12 +41,14 @@
     (package / 'main.py').write_text(PROGRAM, 'utf-8')
     (tmp_path / 'tools.py').write_text('', 'utf-8')
     write_page(tmp_path / 'page', LinkPage(ip='127.9.4.1'))
+    clock = ClockFile(path=tmp_path / 'clock')
     process = subprocess.run(
         [
             sys.executable,
             '-m',
             'tools.site_rig.node_launcher',
             str(tmp_path),
+            str(clock.path),
             str(tmp_path / 'page'),
         ],
         cwd=ROOT,
