--- a/tests/site_rig/test_link_loop.py
+++ b/tests/site_rig/test_link_loop.py
@@ -10,7 +10,12 @@
 
 from tools.site_rig.link_delay import DelayedTransport
 from tools.site_rig.link_loop import LinkLoop
-from tools.site_rig.link_pages import POKE_PORT, LinkPage, Strike, write_page
+from tools.site_rig.link_pages import (
+    UPDATE_PORT,
+    ConnectionFault,
+    LinkPage,
+    write_page,
+)
 
 HERE, THERE, CUT = '127.9.5.1', '127.9.5.2', '127.9.5.3'
 PORT = 8300
@@ -51,9 +56,9 @@
     def write(self, page: LinkPage) -> None:
         write_page(self.path, page)
 
-    def poke(self) -> None:
+    def update(self) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as poking:
-            poking.sendto(b'turn', (HERE, POKE_PORT))
+            poking.sendto(b'turn', (HERE, UPDATE_PORT))
 
     def run(self, running):
         """Run something to its end; a test that hangs fails."""
@@ -188,21 +193,22 @@
         assert host.run(sources()) == [THERE]
 
 
-class TestPokes:
+class TestUpdates:
     """Pages that change while the process runs."""
 
     # Guards against a page that is read at the start only, and connections to
-    # the own target or store that no strike ends.
+    # the own target or store that no fault ends.
     @pytest.mark.parametrize('ip', [THERE, HERE])
-    def test_strike(self, host, ip):
-        struck = msgspec.structs.replace(
-            PAGE, strikes=(Strike(number=1, how='reset', share=1),)
+    def test_connection_fault(self, host, ip):
+        hit = msgspec.structs.replace(
+            PAGE,
+            faults=(ConnectionFault(number=1, how='reset', share=1),),
         )
 
         async def reset() -> list[str]:
             _, near, far = await connected(host.loop, ip)
-            host.write(struck)
-            host.poke()
+            host.write(hit)
+            host.update()
             await near.lost.wait()
             await far.lost.wait()
             return [type(each.error).__name__ for each in (near, far)]
--- a/tests/site_rig/test_link_player.py
+++ b/tests/site_rig/test_link_player.py
@@ -18,12 +18,12 @@
         self.told: list = []
 
     @contextlib.contextmanager
-    def harmed(self, *harms) -> Iterator[None]:
-        self.told.append(f'harm {len(harms)}')
+    def impaired(self, *impairments) -> Iterator[None]:
+        self.told.append(f'impairment {len(impairments)}')
         yield
         self.told.append('heal')
 
-    def strike(self, names, others, how, share) -> None:
+    def fail_connections(self, names, others, how, share) -> None:
         self.told.append((names, others, how, share))
 
     @contextlib.contextmanager
@@ -56,13 +56,13 @@
 
     # Guards against links that heal before the time, or late trouble.
     @pytest.mark.parametrize('kind', ['link_cut', 'lossy', 'link_squeeze'])
-    def test_harm(self, played, kind):
+    def test_impairment(self, played, kind):
         told = played.play(kind=kind, hosts=('a', 'b'), others=('c',))
 
         assert told == [
             'trouble a',
             'trouble b',
-            'harm 2',
+            'impairment 2',
             3,
             'heal',
             'calm b',
@@ -76,11 +76,11 @@
             kind='link_cut', how=how, hosts=('a',), others=('c',)
         )
 
-        assert told[1:4] == ['harm 2', (('a',), ('c',), 'reset', 1), 3]
+        assert told[1:4] == ['impairment 2', (('a',), ('c',), 'reset', 1), 3]
 
-    # Guards against a strike of others' connections, or one that lasts.
+    # Guards against a fault of others' connections, or one that lasts.
     @pytest.mark.parametrize('how', ['reset', 'silence'])
-    def test_strike(self, played, how):
+    def test_connection_fault(self, played, how):
         told = played.play(kind='reset_conns', how=how, hosts=('a',), ratio=0.5)
 
         assert told == ['trouble a', (('a',), (), how, 0.5), 'calm a']
--- a/tests/site_rig/test_link_words.py
+++ b/tests/site_rig/test_link_words.py
@@ -4,7 +4,7 @@
 import pytest
 
 from tests.site_rig.small_site import small_hosts, small_site
-from tools.site_rig.link_player import harms_of, troubled_hosts
+from tools.site_rig.link_player import impairments_of, troubled_hosts
 from tools.site_rig.plans import plan_of
 from tools.site_rig.scene import Disruption
 from tools.site_rig.site import Day, PlanEntry
@@ -154,15 +154,15 @@
         ('how', 'expected', 'count'),
         [('', 'reset', 1), ('silence', 'silence', 6)],
     )
-    def test_strikes(self, how, expected, count):
-        strike = only('reset_conns', made_of('reset_conns', how=how))
+    def test_connection_fault(self, how, expected, count):
+        fault = only('reset_conns', made_of('reset_conns', how=how))
 
-        assert strike.how == expected
-        assert len(strike.hosts) == count
-        assert strike.ratio == 0.5
+        assert fault.how == expected
+        assert len(fault.hosts) == count
+        assert fault.ratio == 0.5
 
 
-class TestHarms:
+class TestImpairments:
     """What a disruption does to the links of its hosts."""
 
     CUT = Disruption(
@@ -174,10 +174,10 @@
         ('how', 'deaf'), [('', [{'a'}, {'a', 'b'}]), ('one_way', [{'a'}])]
     )
     def test_directions(self, how, deaf):
-        harms = harms_of(msgspec.structs.replace(self.CUT, how=how))
+        impairments = impairments_of(msgspec.structs.replace(self.CUT, how=how))
 
-        assert [harm.receivers for harm in harms] == deaf
-        assert all(harm.is_cut for harm in harms)
+        assert [impairment.receivers for impairment in impairments] == deaf
+        assert all(impairment.is_cut for impairment in impairments)
 
     # Guards against cuts that refuse unasked, and refusals that are silent.
     @pytest.mark.parametrize(
@@ -185,9 +185,9 @@
         [('', False), ('reset', True), ('refuse one_way', True)],
     )
     def test_refusals(self, how, refuses):
-        harms = harms_of(msgspec.structs.replace(self.CUT, how=how))
+        impairments = impairments_of(msgspec.structs.replace(self.CUT, how=how))
 
-        assert {harm.refuses for harm in harms} == {refuses}
+        assert {impairment.refuses for impairment in impairments} == {refuses}
 
     # Guards against a loss that is a cut, or a narrow link with losses.
     @pytest.mark.parametrize(
@@ -195,11 +195,11 @@
         [('lossy', 0.03, 0), ('link_squeeze', 0, 0.03)],
     )
     def test_amounts(self, kind, loss, rate_mbps):
-        harm, _ = harms_of(
+        impairment, _ = impairments_of(
             msgspec.structs.replace(self.CUT, kind=kind, ratio=0.03)
         )
 
-        assert (harm.loss, harm.rate_mbps) == (loss, rate_mbps)
+        assert (impairment.loss, impairment.rate_mbps) == (loss, rate_mbps)
 
     # Guards against trouble of machines at the other end of a link, or of one
     # side only where both are alike.
--- a/tests/site_rig/test_links.py
+++ b/tests/site_rig/test_links.py
@@ -1,4 +1,4 @@
-"""The links of a run: the pages of hosts while links are harmed."""
+"""The links of a run: the pages of hosts while links are impaired."""
 
 import contextlib
 import socket
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.site_rig.small_site import small_hosts
-from tools.site_rig.link_pages import POKE_PORT, LinkPage, read_page
-from tools.site_rig.links import Harm, Links
+from tools.site_rig.link_pages import UPDATE_PORT, LinkPage, read_page
+from tools.site_rig.links import Impairment, Links
 from tools.site_rig.site import Net
 
 NET = Net(cross_zone_ms=0.5, cross_region_ms=20)
@@ -18,7 +18,7 @@
         small_hosts(), (('a', 'r'), ('b', 'r'), ('c', 's')), strict=False
     )
 )
-CUT = Harm(
+CUT = Impairment(
     senders=frozenset((FIRST.name, SECOND.name)),
     receivers=frozenset((SECOND.name,)),
     loss=1,
@@ -63,12 +63,12 @@
         assert not Net().not_played
 
 
-class TestHarms:
+class TestImpairments:
     """What is wrong with links."""
 
     # Guards against a cut at other hosts, in the other direction, or at home.
     def test_cut(self, links):
-        with links.harmed(CUT):
+        with links.impaired(CUT):
             assert links.page(SECOND).deaf_to == (FIRST.ip,)
             assert not links.page(SECOND).losses
             assert not links.page(FIRST).deaf_to
@@ -78,8 +78,8 @@
 
     # Guards against a cut that ends with the first of two.
     def test_two_cuts(self, links):
-        with links.harmed(CUT):
-            with links.harmed(CUT):
+        with links.impaired(CUT):
+            with links.impaired(CUT):
                 assert links.page(SECOND).deaf_to
             assert links.page(SECOND).deaf_to
 
@@ -87,7 +87,7 @@
     def test_loss(self, links):
         lossy = msgspec.structs.replace(CUT, loss=0.03)
 
-        with links.harmed(lossy):
+        with links.impaired(lossy):
             page = links.page(SECOND)
 
         assert page.losses == {FIRST.ip: 0.03}
@@ -95,7 +95,7 @@
 
     # Guards against refusals in the other direction.
     def test_refusal(self, links):
-        with links.harmed(msgspec.structs.replace(CUT, refuses=True)):
+        with links.impaired(msgspec.structs.replace(CUT, refuses=True)):
             assert links.page(SECOND).refused_by == (FIRST.ip,)
             assert not links.page(FIRST).refused_by
 
@@ -103,45 +103,45 @@
     def test_rate(self, links):
         narrow = msgspec.structs.replace(CUT, loss=0, rate_mbps=9)
 
-        with links.harmed(narrow):
+        with links.impaired(narrow):
             assert links.page(FIRST).rates_mbps == {SECOND.ip: 9}
             assert not links.page(SECOND).rates_mbps
             assert not links.page(SECOND).losses
 
 
-class TestStrikes:
+class TestConnectionFaults:
     """Connections that end at once."""
 
-    # Guards against ends of one connection that are struck as two.
+    # Guards against ends of one connection that are hit as two.
     def test_all_of_some(self, links):
-        links.strike((FIRST.name,), (), 'reset', 0.5)
+        links.fail_connections((FIRST.name,), (), 'reset', 0.5)
 
         pages = [links.page(host) for host in (FIRST, SECOND, THIRD)]
-        strikes = [page.strikes[0] for page in pages]
-        assert {strike.number for strike in strikes} == {1}
-        assert {strike.share for strike in strikes} == {0.5}
-        assert [strike.only for strike in strikes] == [
+        faults = [page.faults[0] for page in pages]
+        assert {fault.number for fault in faults} == {1}
+        assert {fault.share for fault in faults} == {0.5}
+        assert [fault.only for fault in faults] == [
             (),
             (FIRST.ip,),
             (FIRST.ip,),
         ]
 
-    # Guards against a strike beside the links it is about.
+    # Guards against a fault beside the links it is about.
     def test_between_two(self, links):
-        links.strike((FIRST.name,), (SECOND.name,), 'reset', 1)
+        links.fail_connections((FIRST.name,), (SECOND.name,), 'reset', 1)
 
-        assert links.page(FIRST).strikes[0].only == (SECOND.ip,)
-        assert links.page(SECOND).strikes[0].only == (FIRST.ip,)
-        assert not links.page(THIRD).strikes
+        assert links.page(FIRST).faults[0].only == (SECOND.ip,)
+        assert links.page(SECOND).faults[0].only == (FIRST.ip,)
+        assert not links.page(THIRD).faults
 
 
 class TestTelling:
     """How processes hear of changes."""
 
-    # Guards against a harm that is not told, or told before it is written.
+    # Guards against an impairment that isn't told, or before it is written.
     def test_told(self, links, tmp_path):
         with contextlib.closing(_port(SECOND.ip)) as port:
-            with links.harmed(CUT):
+            with links.impaired(CUT):
                 told = port.recv(64)
                 page = read_page(tmp_path / f'{SECOND.name}.links')
             told_again = port.recv(64)
@@ -165,5 +165,5 @@
 
 def _port(ip: str) -> socket.socket:
     port = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    port.bind((ip, POKE_PORT))
+    port.bind((ip, UPDATE_PORT))
     return port
--- a/tests/site_rig/test_node_links.py
+++ b/tests/site_rig/test_node_links.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from tools.site_rig.link_pages import LinkPage, Strike
-from tools.site_rig.node_links import NodeLinks, is_struck
+from tools.site_rig.link_pages import ConnectionFault, LinkPage
+from tools.site_rig.node_links import NodeLinks, is_hit
 
 HERE, THERE = '127.9.3.1', '127.9.3.2'
 PAGE = LinkPage(ip=HERE, delays_s={THERE: 0})
 OTHER_PAGE = LinkPage(ip=THERE, delays_s={HERE: 0})
-ALL = Strike(number=7, how='reset', share=1)
+ALL = ConnectionFault(number=7, how='reset', share=1)
 _PACING_RATE = 47
 
 
@@ -54,7 +54,7 @@
         return 'reset'
 
 
-class TestStrikes:
+class TestConnectionFaults:
     """Connections that end at once."""
 
     # Guards against a reset that only one side notices.
@@ -62,22 +62,22 @@
         connection = Connection(opened)
         links = links_of(connection)
 
-        links.turn(msgspec.structs.replace(PAGE, strikes=(ALL,)))
+        links.turn(msgspec.structs.replace(PAGE, faults=(ALL,)))
 
         assert state_of(connection.near) == 'reset'
         assert state_of(connection.far) == 'reset'
 
-    # Guards against a strike that goes on, or comes from before the start.
+    # Guards against a fault that goes on, or comes from before the start.
     def test_once(self, opened):
-        struck = msgspec.structs.replace(PAGE, strikes=(ALL,))
+        hit = msgspec.structs.replace(PAGE, faults=(ALL,))
         connection = Connection(opened)
-        links = links_of(connection, page=struck)
+        links = links_of(connection, page=hit)
 
-        links.turn(struck)
+        links.turn(hit)
 
         assert state_of(connection.near) == 'idle'
-        later = Strike(number=8, how='reset', share=1)
-        links.turn(msgspec.structs.replace(PAGE, strikes=(ALL, later)))
+        later = ConnectionFault(number=8, how='reset', share=1)
+        links.turn(msgspec.structs.replace(PAGE, faults=(ALL, later)))
         assert state_of(connection.near) == 'reset'
 
     # Guards against silence that heals, or is heard.
@@ -86,7 +86,7 @@
         links = links_of(connection)
         silence = msgspec.structs.replace(ALL, how='silence')
 
-        links.turn(msgspec.structs.replace(PAGE, strikes=(silence,)))
+        links.turn(msgspec.structs.replace(PAGE, faults=(silence,)))
         links.turn(PAGE)
         connection.far.send(b'unheard')
 
@@ -96,23 +96,23 @@
     def test_new_ones_work(self, opened):
         links = links_of(Connection(opened))
         silence = msgspec.structs.replace(ALL, how='silence')
-        links.turn(msgspec.structs.replace(PAGE, strikes=(silence,)))
+        links.turn(msgspec.structs.replace(PAGE, faults=(silence,)))
         later = Connection(opened)
         links.connect(later.near)
         later.far.send(b'heard')
 
         assert state_of(later.near) == 'heard'
 
-    # Guards against a strike at links that it is not about.
+    # Guards against a fault at links that it is not about.
     @pytest.mark.parametrize(
         ('only', 'state'), [(THERE, 'reset'), ('127.9.3.3', 'idle')]
     )
     def test_others(self, opened, only, state):
         connection = Connection(opened)
         links = links_of(connection)
-        strike = msgspec.structs.replace(ALL, only=(only,))
+        fault = msgspec.structs.replace(ALL, only=(only,))
 
-        links.turn(msgspec.structs.replace(PAGE, strikes=(strike,)))
+        links.turn(msgspec.structs.replace(PAGE, faults=(fault,)))
 
         assert state_of(connection.near) == state
 
@@ -122,7 +122,7 @@
         links = NodeLinks(page=LinkPage(ip=HERE))
         links.connect(connection.near)
 
-        links.turn(LinkPage(ip=HERE, strikes=(ALL,)))
+        links.turn(LinkPage(ip=HERE, faults=(ALL,)))
 
         assert state_of(connection.near) == 'idle'
 
@@ -131,9 +131,9 @@
         half = msgspec.structs.replace(ALL, share=0.5)
         connections = [Connection(opened) for _ in range(30)]
 
-        chosen = [is_struck(each.near, half) for each in connections]
+        chosen = [is_hit(each.near, half) for each in connections]
 
-        assert chosen == [is_struck(each.far, half) for each in connections]
+        assert chosen == [is_hit(each.far, half) for each in connections]
         assert 3 < sum(chosen) < 27
 
 
@@ -194,7 +194,7 @@
         links = links_of(connection)
         connection.near.close()
 
-        links.turn(msgspec.structs.replace(PAGE, strikes=(ALL,)))
+        links.turn(msgspec.structs.replace(PAGE, faults=(ALL,)))
 
         assert connection.near.fileno() < 0
 
--- a/tools/site_rig/link_loop.py
+++ b/tools/site_rig/link_loop.py
@@ -5,12 +5,12 @@
 import socket
 
 from tools.site_rig.link_delay import DelayedDatagrams, DelayedProtocol
-from tools.site_rig.link_pages import POKE_PORT, LinkPage, read_page
+from tools.site_rig.link_pages import UPDATE_PORT, LinkPage, read_page
 from tools.site_rig.node_links import NodeLinks
 
 # Choose the port of a connection when its other end is known.
 _IP_BIND_ADDRESS_NO_PORT = 24
-_POKE_BYTES = 64
+_UPDATE_BYTES = 64
 
 
 class LinkLoop(asyncio.SelectorEventLoop):
@@ -23,17 +23,17 @@
         super().__init__()
         self._path = path
         self._links = NodeLinks(page=read_page(path))
-        self._pokes = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._pokes.setblocking(False)
-        self._pokes.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._pokes.bind((self._page.ip, POKE_PORT))
-        self.add_reader(self._pokes.fileno(), self._turn)
+        self._updates = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._updates.setblocking(False)
+        self._updates.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._updates.bind((self._page.ip, UPDATE_PORT))
+        self.add_reader(self._updates.fileno(), self._turn)
 
     def close(self) -> None:
         """Close the loop and its port."""
         if not self.is_closed():
-            self.remove_reader(self._pokes.fileno())
-        self._pokes.close()
+            self.remove_reader(self._updates.fileno())
+        self._updates.close()
         super().close()
 
     async def create_connection(
@@ -103,7 +103,7 @@
         return self._links.page
 
     def _turn(self) -> None:
-        self._pokes.recv(_POKE_BYTES)
+        self._updates.recv(_UPDATE_BYTES)
         self._links.turn(read_page(self._path))
 
 
--- a/tools/site_rig/link_pages.py
+++ b/tools/site_rig/link_pages.py
@@ -5,14 +5,14 @@
 import msgspec
 
 # A datagram to this port of a host says that its file has changed.
-POKE_PORT = 8398
+UPDATE_PORT = 8398
 
 
-class Strike(msgspec.Struct, frozen=True, kw_only=True):
+class ConnectionFault(msgspec.Struct, frozen=True, kw_only=True):
     """Ends part of the open connections at once.
 
     Both ends of a connection draw the same number of it, and ``number`` tells
-    one strike from another. It is about connections to ``only`` these hosts if
+    one fault from another. It is about connections to ``only`` these hosts if
     there are any.
     """
 
@@ -36,7 +36,7 @@
     refused_by: tuple[str, ...] = ()
     losses: dict[str, float] = {}
     rates_mbps: dict[str, float] = {}
-    strikes: tuple[Strike, ...] = ()
+    faults: tuple[ConnectionFault, ...] = ()
 
     def is_elsewhere(self, ip: str) -> bool:
         """Tell whether an address is that of another host."""
--- a/tools/site_rig/link_player.py
+++ b/tools/site_rig/link_player.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tools.site_rig.links import Harm
+from tools.site_rig.links import Impairment
 from tools.site_rig.player import Player
 from tools.site_rig.scene import Disruption
 from tools.site_rig.stage import Stage
@@ -16,15 +16,15 @@
 
 
 class LinkPlayer(Player):
-    """Harms links for as long as a disruption lasts."""
+    """Impairments links for as long as a disruption lasts."""
 
     def __init__(self, *, stage: Stage) -> None:
         self._stage = stage
         self._plays = {
             'link_cut': self._cut,
-            'lossy': self._harm,
-            'link_squeeze': self._harm,
-            'reset_conns': self._strike,
+            'lossy': self._impairment,
+            'link_squeeze': self._impairment,
+            'reset_conns': self._fail_connections,
         }
         self.kinds = frozenset(self._plays)
 
@@ -35,19 +35,19 @@
 
     async def _cut(self, disruption: Disruption) -> None:
         links = self._stage.links
-        with links.harmed(*harms_of(disruption)):
+        with links.impaired(*impairments_of(disruption)):
             if is_refusing(disruption):
-                links.strike(
+                links.fail_connections(
                     disruption.hosts, disruption.others, 'reset', _ALL_LOST
                 )
             await asyncio.sleep(disruption.for_s)
 
-    async def _harm(self, disruption: Disruption) -> None:
-        with self._stage.links.harmed(*harms_of(disruption)):
+    async def _impairment(self, disruption: Disruption) -> None:
+        with self._stage.links.impaired(*impairments_of(disruption)):
             await asyncio.sleep(disruption.for_s)
 
-    async def _strike(self, disruption: Disruption) -> None:
-        self._stage.links.strike(
+    async def _fail_connections(self, disruption: Disruption) -> None:
+        self._stage.links.fail_connections(
             disruption.hosts, (), disruption.how, disruption.ratio
         )
 
@@ -60,11 +60,11 @@
             yield
 
 
-def harms_of(disruption: Disruption) -> tuple[Harm, ...]:
+def impairments_of(disruption: Disruption) -> tuple[Impairment, ...]:
     """Return what a disruption does to links, in both directions or one."""
     loss = {'link_cut': _ALL_LOST, 'lossy': disruption.ratio}
     is_squeeze = disruption.kind == 'link_squeeze'
-    inward = Harm(
+    inward = Impairment(
         senders=frozenset(disruption.others),
         receivers=frozenset(disruption.hosts),
         loss=loss.get(disruption.kind, 0),
--- a/tools/site_rig/links.py
+++ b/tools/site_rig/links.py
@@ -8,15 +8,20 @@
 
 import msgspec
 
-from tools.site_rig.link_pages import POKE_PORT, LinkPage, Strike, write_page
+from tools.site_rig.link_pages import (
+    UPDATE_PORT,
+    ConnectionFault,
+    LinkPage,
+    write_page,
+)
 from tools.site_rig.scene import Host
 from tools.site_rig.site import Net
 
 _MS_PER_S = 1000
-_POKE = b'turn'
+_UPDATE = b'turn'
 
 
-class Harm(msgspec.Struct, frozen=True, kw_only=True):
+class Impairment(msgspec.Struct, frozen=True, kw_only=True):
     """What is wrong with the links from some hosts to others.
 
     A part of the packets is lost; all of them are if the links are cut. Links
@@ -44,29 +49,29 @@
         self._net = net
         self._hosts = {host.name: host for host in hosts}
         self._folder = folder
-        self._harms: list[Harm] = []
-        self._strikes: dict[str, list[Strike]] = {}
+        self._impairments: list[Impairment] = []
+        self._faults: dict[str, list[ConnectionFault]] = {}
         self._numbers = itertools.count(1)
-        self._pokes = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._pokes.setblocking(False)
+        self._updates = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._updates.setblocking(False)
 
     def write(self, host: Host) -> None:
         """Write the page of a host."""
         write_page(self._folder / f'{host.name}.links', self.page(host))
 
     @contextlib.contextmanager
-    def harmed(self, *harms: Harm) -> Iterator[None]:
-        """Harm links for as long as it lasts."""
-        self._harms.extend(harms)
+    def impaired(self, *impairments: Impairment) -> Iterator[None]:
+        """Impairment links for as long as it lasts."""
+        self._impairments.extend(impairments)
         self._tell(self._hosts)
         try:
             yield
         finally:
-            for harm in harms:
-                self._harms.remove(harm)
+            for impairment in impairments:
+                self._impairments.remove(impairment)
             self._tell(self._hosts)
 
-    def strike(
+    def fail_connections(
         self,
         names: Iterable[str],
         others: Iterable[str],
@@ -77,49 +82,57 @@
 
         Without ``others`` it is about all connections of the first ones.
         """
-        struck, rest = frozenset(names), frozenset(others)
+        hit, rest = frozenset(names), frozenset(others)
         number = next(self._numbers)
         for name in self._hosts:
-            only = rest if name in struck else struck
-            if name in struck or name in rest or not rest:
-                strike = Strike(
+            only = rest if name in hit else hit
+            if name in hit or name in rest or not rest:
+                fault = ConnectionFault(
                     number=number,
                     how=how,
                     share=share,
                     only=tuple(sorted(self._hosts[each].ip for each in only)),
                 )
-                self._strikes.setdefault(name, []).append(strike)
+                self._faults.setdefault(name, []).append(fault)
         self._tell(self._hosts)
 
     def page(self, host: Host) -> LinkPage:
         """Return what the process of a host is told."""
-        reach = [harm for harm in self._harms if host.name in harm.receivers]
-        leave = [harm for harm in self._harms if host.name in harm.senders]
-        refusing = [harm for harm in reach if harm.refuses]
-        cutting = [harm for harm in reach if harm.is_cut]
+        reach = [
+            impairment
+            for impairment in self._impairments
+            if host.name in impairment.receivers
+        ]
+        leave = [
+            impairment
+            for impairment in self._impairments
+            if host.name in impairment.senders
+        ]
+        refusing = [impairment for impairment in reach if impairment.refuses]
+        cutting = [impairment for impairment in reach if impairment.is_cut]
         return LinkPage(
             ip=host.ip,
             delays_s=self._delays_s(host),
             deaf_to=self._senders(host, cutting),
             refused_by=self._senders(host, refusing),
             losses={
-                ip: harm.loss
-                for harm in reach
-                if harm.loss and not harm.is_cut
-                for ip in self._senders(host, (harm,))
+                ip: impairment.loss
+                for impairment in reach
+                if impairment.loss and not impairment.is_cut
+                for ip in self._senders(host, (impairment,))
             },
             rates_mbps={
-                self._hosts[name].ip: harm.rate_mbps
-                for harm in leave
-                if harm.rate_mbps
-                for name in harm.receivers - {host.name}
+                self._hosts[name].ip: impairment.rate_mbps
+                for impairment in leave
+                if impairment.rate_mbps
+                for name in impairment.receivers - {host.name}
             },
-            strikes=tuple(self._strikes.get(host.name, ())),
+            faults=tuple(self._faults.get(host.name, ())),
         )
 
     def close(self) -> None:
         """Tell nobody any more."""
-        self._pokes.close()
+        self._updates.close()
 
     def _delays_s(self, host: Host) -> dict[str, float]:
         return {
@@ -133,9 +146,13 @@
             host.zone, host.region, other.zone, other.region
         )
 
-    def _senders(self, host: Host, harms: Iterable[Harm]) -> tuple[str, ...]:
+    def _senders(
+        self, host: Host, impairments: Iterable[Impairment]
+    ) -> tuple[str, ...]:
         addresses = {
-            self._hosts[name].ip for harm in harms for name in harm.senders
+            self._hosts[name].ip
+            for impairment in impairments
+            for name in impairment.senders
         }
         return tuple(sorted(addresses - {host.ip}))
 
@@ -144,4 +161,4 @@
             host = self._hosts[name]
             self.write(host)
             with contextlib.suppress(OSError):
-                self._pokes.sendto(_POKE, (host.ip, POKE_PORT))
+                self._updates.sendto(_UPDATE, (host.ip, UPDATE_PORT))
--- a/tools/site_rig/node_links.py
+++ b/tools/site_rig/node_links.py
@@ -7,7 +7,7 @@
 import weakref
 from asyncio.trsock import TransportSocket
 
-from tools.site_rig.link_pages import LinkPage, Strike
+from tools.site_rig.link_pages import ConnectionFault, LinkPage
 from tools.site_rig.packet_filter import SILENCE, filter_of
 
 _BYTES_PER_MBIT = 125_000
@@ -24,12 +24,12 @@
     def __init__(self, *, page: LinkPage) -> None:
         self.page = page
         self._filter = filter_of(page)
-        self._struck = max((each.number for each in page.strikes), default=0)
+        self._hit = max((each.number for each in page.faults), default=0)
         self._listening: list[TransportSocket] = []
         self._connected: weakref.WeakSet[socket.socket] = weakref.WeakSet()
         self._paced: weakref.WeakSet[socket.socket] = weakref.WeakSet()
         self._silenced: weakref.WeakSet[socket.socket] = weakref.WeakSet()
-        self._strikes = {'reset': reset, 'silence': self._silence}
+        self._endings = {'reset': reset, 'silence': self._silence}
 
     def guard(self, sock: TransportSocket) -> None:
         """Filter a socket that hears many hosts."""
@@ -40,7 +40,7 @@
         self._filter.put_on(sock)
 
     def connect(self, sock: socket.socket) -> None:
-        """Filter a connection, slow it down, and let strikes end it."""
+        """Filter a connection, slow it down, and let faults end it."""
         self._connected.add(sock)
         self._hold(sock)
 
@@ -53,10 +53,10 @@
                 self._filter.put_on(listening)
         for connected in self._open():
             self._hold(connected)
-        for strike in page.strikes:
-            if strike.number > self._struck:
-                self._struck = strike.number
-                self._strike(strike)
+        for fault in page.faults:
+            if fault.number > self._hit:
+                self._hit = fault.number
+                self._fail_connections(fault)
 
     def _hold(self, sock: socket.socket) -> None:
         if sock not in self._silenced:
@@ -69,11 +69,11 @@
             self._paced.discard(sock)
             set_rate(sock, _NO_RATE)
 
-    def _strike(self, strike: Strike) -> None:
-        meant = strike.only or (self.page.ip, *self.page.delays_s)
+    def _fail_connections(self, fault: ConnectionFault) -> None:
+        meant = fault.only or (self.page.ip, *self.page.delays_s)
         for sock in self._open():
-            if other_end(sock) in meant and is_struck(sock, strike):
-                self._strikes[strike.how](sock)
+            if other_end(sock) in meant and is_hit(sock, fault):
+                self._endings[fault.how](sock)
 
     def _silence(self, sock: socket.socket) -> None:
         self._silenced.add(sock)
@@ -91,14 +91,14 @@
         return ''
 
 
-def is_struck(sock: socket.socket, strike: Strike) -> bool:
+def is_hit(sock: socket.socket, fault: ConnectionFault) -> bool:
     """Tell whether a connection is one of those; both ends say the same."""
     try:
         ends = sorted((sock.getsockname(), sock.getpeername()))
     except OSError:
         return False
-    drawn = random.Random(f'{strike.number} {ends}').random()  # noqa: S311
-    return drawn < strike.share
+    drawn = random.Random(f'{fault.number} {ends}').random()  # noqa: S311
+    return drawn < fault.share
 
 
 def set_rate(sock: socket.socket, bytes_per_s: int) -> None:
