--- a/fescueknot/httpio/response_parser.py
+++ b/fescueknot/httpio/response_parser.py
@@ -38,9 +38,8 @@
         max_head_bytes: int = MAX_RESPONSE_HEAD_BYTES,
         max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
     ) -> None:
-        super().__init__()
+        super().__init__(max_head_bytes=max_head_bytes)
         self.to_head_request = False
-        self._max_head_bytes = max_head_bytes
         self._max_body_bytes = max_body_bytes
         self._interim_count = 0
         self._reason = b''
@@ -67,7 +66,7 @@
             # What a method of this class has raised is its context.
             raise MalformedError(str(error.__context__ or error)) from error
         if self._has_begun:
-            self._check_framing(len(received), self._max_head_bytes)
+            self._check_framing(len(received))
         elif was_between and self._messages_begun == begun_before:
             self._check_empty(len(received))
         return self.pop_complete()
@@ -122,9 +121,12 @@
         headers = dict(self._headers)
         framing_headers = headers.keys() & _FRAMING_HEADERS
         self._reads_until_close = not framing_headers
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            return
         if self.to_head_request:
             self._complete.append(self._response(closing=True))
-        elif self._parser.get_status_code() not in _BODYLESS_STATUSES:
+        elif status not in _BODYLESS_STATUSES:
             self._check_body(int(headers.get('content-length', 0)))
 
     def on_message_complete(self) -> None:
--- a/tests/stop_matrix/test_target.py
+++ b/tests/stop_matrix/test_target.py
@@ -1,9 +1,11 @@
 """Targets of the matrix: what a path asks for, and when a run has ended."""
 
 import asyncio
+import types
 
 import pytest
 
+from tools.site_rig.exchanges import Answer
 from tools.site_rig.records import RunEnd
 from tools.site_rig.replies import Reply
 from tools.site_rig.target_connection import App, Arrival
@@ -29,11 +31,52 @@
         return Reply(status=200, headers={}, body=b'x' * LONG_BYTES)
 
 
+class _ShortAnswer(_Whole):
+    async def answer(self, arrival):
+        return Reply(status=200, headers={}, body=b'x')
+
+
+class _Caller:
+    """Answers each call, and keeps its id."""
+
+    def __init__(self):
+        self.attempts = []
+
+    async def open(self):
+        """Return no connection."""
+
+    async def ask(self, connection, ask):
+        """Answer."""
+        self.attempts.append(ask.attempt)
+        return types.SimpleNamespace(answer=Answer(status=200))
+
+
 class _Endless(_Whole):
     async def answer(self, arrival):
         await asyncio.sleep(60)
 
 
+class _ClosingTransport:
+    """Its caller takes a whole answer and closes at once."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._left_bytes = 0
+
+    def write(self, answer):
+        """Take all, and close in a later turn."""
+        self._left_bytes = len(answer)
+        asyncio.get_running_loop().call_soon(self._close)
+
+    def get_write_buffer_size(self):
+        """Return what is not taken yet."""
+        return self._left_bytes
+
+    def _close(self):
+        self._left_bytes = 0
+        self._connection.connection_lost(None)
+
+
 def reply_to(path: str, headers: dict[str, str]) -> Reply:
     target = MatrixTarget(host=_Host(), records=None, caller=None)
     arrival = Arrival(path=path, headers=headers)
@@ -99,9 +142,41 @@
         assert 'x-fescueknot-not-executed' in reply.headers
 
 
+class TestCalls:
+    """Calls of a run."""
+
+    # Guards against the run of a repeated request that is taken for that of
+    # the first: their calls are requests of their own.
+    def test_ids_of_calls_differ_between_runs(self):
+        caller = _Caller()
+        path, headers = '/call/w1/1', {'x-fescueknot-attempt-id': 'calls.1'}
+        for _ in range(2):
+            target = MatrixTarget(host=_Host(), records=None, caller=caller)
+            arrival = Arrival(path=path, headers=headers)
+            asyncio.run(target.answer(arrival))
+            asyncio.run(target.answer(arrival))
+        assert len(set(caller.attempts)) == 8
+
+
 class TestEndOfRun:
     """When a run has ended."""
 
+    # Guards against blaming a caller that closes as soon as it has all.
+    def test_run_is_answered_when_its_caller_closes_behind_the_answer(self):
+        noted = []
+
+        async def play():
+            connection = MatrixConnection(
+                app=_ShortAnswer(), note=lambda *run: noted.append(run[2])
+            )
+            transport = _ClosingTransport(connection)
+            connection.connection_made(transport)
+            connection.data_received(REQUEST % USUAL)
+            await asyncio.sleep(0.1)
+
+        asyncio.run(play())
+        assert noted == [RunEnd.ANSWERED]
+
     # An answer that its caller has not taken is still the target's work.
     def test_run_ends_when_its_answer_is_handed_over(self):
         assert ends_of(_LongAnswer(), reads=True) == [[], [RunEnd.ANSWERED]]
