--- a/fescueknot/httpio/parsing.py
+++ b/fescueknot/httpio/parsing.py
@@ -80,6 +80,7 @@
 
     def on_headers_complete(self) -> None:
         """Check ``Expect``, ``Content-Length`` and ``Upgrade``."""
+        super().on_headers_complete()
         self.in_body = True
         # Counted for the framing of the body from here on.
         self._received_bytes = 0
@@ -106,7 +107,7 @@
         request = Request(
             method=self._parser.get_method().decode(CHARSET),
             target=self._target.decode(CHARSET),
-            headers=tuple(self._headers),
+            headers=self._head(),
             body=self._whole_body(),
         )
         self._complete.append((request, self._parser.should_keep_alive()))
@@ -118,7 +119,7 @@
     def _feed_piece(self, piece: bytes) -> None:
         complete_before = len(self._complete)
         is_between = not self.has_begun
-        begun_before = self._messages_begun
+        begun_before = self.messages_begun
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserCallbackError as error:
@@ -129,7 +130,7 @@
             self._ignore_upgrade(piece[upgrade.args[0] :])
         if self.has_begun and len(self._complete) == complete_before:
             self._check_received(len(piece))
-        elif is_between and self._messages_begun == begun_before:
+        elif is_between and self.messages_begun == begun_before:
             self._check_empty(len(piece))
 
     def _ignore_upgrade(self, rest: bytes) -> None:
