--- a/tools/site_rig/node_process.py
+++ b/tools/site_rig/node_process.py
@@ -8,15 +8,16 @@
 import sys
 import time
 
-from tools.site_rig.link_pages import PAGE_VARIABLE
 from tools.site_rig.memory_watch import MemoryWatch, limit_descriptors
 from tools.site_rig.node_settings import NodeSettings
 from tools.site_rig.records import RecordFile, SignalKind, SignalRecord
 from tools.site_rig.scene import Host
+from tools.site_rig.wall_clock import ClockFile
 
-LAUNCHER = pathlib.Path(__file__).with_name('node_launcher.py')
 _POLL_S = 0.02
 _RESTART_S = 0.5
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_LAUNCHER = 'tools.site_rig.node_launcher'
 
 
 class NodeProcess:
@@ -31,6 +32,9 @@
         records: RecordFile,
     ) -> None:
         self.host = host
+        # Its host is gone, and it has ended.
+        self.has_left = False
+        self.clock = ClockFile(path=settings.path.with_suffix('.clock'))
         self._settings = settings
         self._log = settings.path.with_suffix('.log')
         self._code = code
@@ -44,14 +48,18 @@
         """Start the process."""
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(LAUNCHER)],
-                cwd=self._code,
+                [
+                    sys.executable,
+                    '-m',
+                    _LAUNCHER,
+                    str(self._code.resolve()),
+                    str(self.clock.path.resolve()),
+                    str(self._settings.path.with_suffix('.links').resolve()),
+                ],
+                cwd=_ROOT,
                 env={
                     **os.environ,
                     'FESCUEKNOT_CONFIG': str(self._settings.path),
-                    PAGE_VARIABLE: str(
-                        self._settings.path.with_suffix('.links')
-                    ),
                 },
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -81,6 +89,9 @@
         """Send SIGTERM; its host is gone and it does not start again."""
         self._is_gone = True
         await self._terminate()
+        while self._is_running:
+            await asyncio.sleep(_POLL_S)
+        self.has_left = True
 
     async def kill(self, down_s: float, *, is_dark: bool = False) -> None:
         """Send SIGKILL, and start again after a time.
@@ -105,6 +116,7 @@
         self._is_gone = True
         self._note(SignalKind.KILL)
         self.end()
+        self.has_left = True
         self._note(SignalKind.END, _status(self._process))
 
     async def revive(self) -> None:
--- a/tools/site_rig/operator_players.py
+++ b/tools/site_rig/operator_players.py
@@ -1,5 +1,6 @@
 """What the operator's process of a run plays, as a table of its players."""
 
+from tools.site_rig.clock_player import ClockPlayer
 from tools.site_rig.host_player import HostPlayer
 from tools.site_rig.link_player import LinkPlayer
 from tools.site_rig.node_player import ConfigurationPlayer, NodePlayer
@@ -13,6 +14,7 @@
     HostPlayer,
     StorePlayer,
     LinkPlayer,
+    ClockPlayer,
 )
 
 
--- a/tools/site_rig/store_words.py
+++ b/tools/site_rig/store_words.py
@@ -23,12 +23,17 @@
 _HOWS = ('silent', 'busy', 'reset')
 # Watches hear nothing for as long before the history is dropped.
 _DEAF_S = 1.0
+# Until a lease of a node, and its margin, have run out.
+_LEASE_S = 8.5
 
 
 def _down(spread: Spread, entry: PlanEntry) -> Iterator[Disruption]:
     how = next((word for word in _HOWS if word in entry.hows), 'silent')
     is_for_some = 'nodes' in entry.hows
     hosts = spread.machines(entry, _SHARE) if is_for_some else spread.hosts
+    if 'lapse' in entry.hows:
+        for_s = max(entry.for_s or 0, _LEASE_S)
+        entry = msgspec.structs.replace(entry, for_s=for_s)
     yield from at_gates(spread, entry, hosts, how)
 
 
@@ -77,7 +82,7 @@
 STORE_WORDS = MappingProxyType(
     {
         'platform_down': Word(
-            maker=_down, hows=COMPANIONS | frozenset((*_HOWS, 'nodes'))
+            maker=_down, hows=COMPANIONS | frozenset((*_HOWS, 'nodes', 'lapse'))
         ),
         'platform_slow': Word(maker=_slow),
         'platform_lost': Word(maker=_lost, hows=frozenset(('late',))),
--- a/tools/site_rig/target.py
+++ b/tools/site_rig/target.py
@@ -1,8 +1,8 @@
 """A target: slots, work, calls of its runs and the records of them."""
 
 import asyncio
+import itertools
 import random
-import secrets
 import time
 
 import msgspec
@@ -19,7 +19,6 @@
 from tools.site_rig.target_troubles import TargetTroubles
 
 _MS_PER_S = 1000
-_RUN_ID_BYTES = 4
 _PARTS_OF_WORK = 2
 _FULL = 503
 _WRONG_TARGET = 421
@@ -62,6 +61,7 @@
         self.is_leaving = False
         self.is_down = False
         self.started_ms = int(time.time() * _MS_PER_S)
+        self._started_s = time.monotonic()
         self._site = site
         self._service = site.service_named(host.service)
         self._records = records
@@ -69,8 +69,17 @@
         self.troubles = TargetTroubles(rng=rng)
         self._slots = asyncio.Semaphore(self._service.slots)
         self._present = 0
+        self._calls = itertools.count()
+        # Short, and of no other target of a run.
+        self._tag = f'{host.ip.rpartition(".")[2]}-{number}'
         self._caller = Caller(host=host, records=records, rng=rng)
 
+    @property
+    def warmup_left_s(self) -> float:
+        """Return for how long it stays slow after its start."""
+        warm_s = self._started_s + self._service.cold_s
+        return max(0, warm_s - time.monotonic())
+
     async def answer(self, arrival: Arrival) -> Reply:
         """Run one request, or reject it."""
         if arrival.path.startswith('/health'):
@@ -119,6 +128,8 @@
         """Work, call in the middle, and return the status."""
         work_ms = run.kind.work_ms.draw(self._rng) / self.host.speed
         work_ms *= self.troubles.slowness
+        if self.warmup_left_s:
+            work_ms *= self._service.cold_x
         part_s = work_ms / _MS_PER_S / _PARTS_OF_WORK
         await asyncio.sleep(part_s)
         for rule in run.kind.calls:
@@ -130,8 +141,7 @@
 
     async def _call(self, run: Run, rule: CallRule) -> bool:
         kind = self._site.class_named(rule.name)
-        prefix = f'{run.attempt}.{secrets.token_hex(_RUN_ID_BYTES)}'
-        attempts = [f'{prefix}.{number}' for number in range(rule.times)]
+        attempts = [self._call_id(run) for _ in range(rule.times)]
         if rule.together:
             calls = [self._send(run, kind, attempt) for attempt in attempts]
             return all(await asyncio.gather(*calls))
@@ -154,6 +164,10 @@
         is_answered = exchange.outcome is Outcome.ANSWERED
         return is_answered and exchange.answer.status == _OK
 
+    def _call_id(self, run: Run) -> str:
+        """Return an id that no run of the request has used, here or there."""
+        return f'{run.attempt}.{self._tag}-{next(self._calls)}'
+
     def _run_of(self, arrival: Arrival, attempt: str) -> Run:
         kind = self._site.class_named(arrival.path.split('/')[1])
         given_ms = arrival.headers.get(NAMES.remaining_ms, kind.deadline_ms)
